--- /dev/null
+++ b/src/balance.rs
@@ -0,0 +1,650 @@
+//! Every decision of the router. Its interface (settings, events, actions) is in `src/api.rs`.
+//!
+//! The path of a request: admit -> candidates (ring owner, then distinct successors clockwise) -> first
+//! candidate allowed -> attempt -> outcome -> answer or next attempt -> timer. The ring decides where.
+//! Departures skip a candidate, refuse or time an attempt. Attempts leave by `send`, answers by `answer`.
+
+use crate::api::*;
+use crate::state::*;
+use md5::{Digest, Md5};
+
+/// Digests a server puts on the ring; each gives four points, so 160 points (the source's default).
+const DIGESTS: u32 = 40;
+/// All routers together send a cold server of one core at most this share of what would push it over.
+const COLD_WORK: f64 = 0.75;
+/// Each request earns this part of a further attempt, so that attempts never multiply the load by more.
+const RETRY_EARN: f64 = 0.15;
+/// Earned attempts all routers together keep for later: enough for a server's end or a batch of a deploy.
+const RETRY_KEEP: f64 = 60.0;
+/// What each router may keep at the least: several attempts for one request, however little it sees.
+const RETRY_LEAST: f64 = 3.0;
+/// An answer later than this share of the aim shows a queue: what waits longer is served in vain under a jam.
+const SLOW_SHARE: f64 = 0.5;
+/// The share of slow answers at which a limit rests: some requests are heavy, and no server is at fault.
+const SLOW_TOLERATED: f64 = 0.1;
+/// How far one slow answer cuts a limit; a whole round of them about halves it.
+const CUT: f64 = 0.5;
+/// What fails or is full is left alone but for a trickle that finds out when it recovers.
+const LEAST_LIMIT: f64 = 0.05;
+/// All routers together start with this many requests at work for a server: many routers crowd one otherwise.
+const FIRST_TOTAL: f64 = 16.0;
+/// A jammed server is still sent this many at a time by all routers together, and by one router at most one.
+const LEAST_TOTAL: f64 = 4.0;
+/// All routers without a past may have this many likely fetches at work for each server, each at least one.
+const FIRST_FETCHES: f64 = 8.0;
+/// Requests worth at least twice the mean may use a limit stretched by this.
+const WORTHY_STRETCH: f64 = 1.5;
+/// A tenant that sends this many times its share, against the others, is over its quota or close to it.
+const FLOOD: f64 = 2.0;
+/// Requests over which the mix of tenants and of keys and the mean worth are averaged.
+const MIX_SPAN: f64 = 200.0;
+/// Keys whose last server this router remembers; a power of two.
+const KNOWN_KEYS: usize = 4096;
+/// Answers over which the share of misses is averaged.
+const MISS_SPAN: f64 = 16.0;
+/// The part of the time left to the aim that an attempt may take while another can follow.
+const PATIENCE: f64 = 0.6;
+/// Silent idle connections, less those that answered, after which silence is laid to being idle.
+const DOUBT: u32 = 3;
+/// How long connections idle for half as long as one that failed are closed before use.
+const STALE_TIME: Micros = Micros::from_millis(20_000);
+/// A further attempt needs this share of the aim to be of use; a held request looks for servers as often.
+const LEAST_TIME: f64 = 0.2;
+/// A hot key is spread over this many times the capacity it asks for: its homes have their usual work too.
+const HOT_ROOM: f64 = 1.5;
+/// Longer gaps between requests are a pause and tell nothing of this router's pace.
+const LONGEST_GAP: Micros = Micros::from_millis(1_000);
+/// Further attempts of all routers together are spread over this many mean servers for each one before.
+const SPREAD: f64 = 3.0;
+/// A failed call for the list is repeated within this share of `ask_within`, growing to half of it.
+const ASK_AGAIN: f64 = 0.05;
+
+/// Timer tokens: the request's id above two bits that say what for.
+const TIMER_DEADLINE: u64 = 0;
+const TIMER_ADVANCE: u64 = 1;
+const TIMER_ASK: u64 = 2;
+
+/// An adaptive concurrency limit: quick answers raise it a little while it is in use, slow ones cut it.
+impl Gauge {
+    /// `chance` in [0, 1) lets part of the requests through where the limit is under one.
+    fn has_room(&self, stretch: f64, chance: f64) -> bool {
+        let limit = self.limit * stretch;
+        let at_once = if self.limit < 1.0 { self.first } else { limit };
+        f64::from(self.in_flight) < at_once && chance < limit
+    }
+
+    fn learn(&mut self, slow: bool, least: f64) {
+        if slow {
+            self.limit = (self.limit - CUT * self.limit.min(1.0)).max(least.min(self.limit));
+        } else if f64::from(self.in_flight + 1) * 2.0 >= self.limit {
+            self.limit += CUT * SLOW_TOLERATED / (1.0 - SLOW_TOLERATED);
+        } else if self.limit > self.first {
+            self.limit -= CUT * SLOW_TOLERATED;
+        }
+    }
+}
+
+impl Server {
+    /// How much of its warm-up it has behind it: 1 once `cold_time` has passed since its start.
+    pub fn warmth(&self, at: Micros, rules: &Rules) -> f64 {
+        let since = self.member.started.max(self.down_at);
+        let part = at.since(since).as_secs_f64() / rules.cold_time.as_secs_f64();
+        if since == Micros(0) || part.is_nan() { 1.0 } else { part.min(1.0) }
+    }
+
+    /// The part of its capacity that it has at least.
+    pub fn capacity(&self, at: Micros, rules: &Rules) -> f64 {
+        rules.cold_share + (1.0 - rules.cold_share) * self.warmth(at, rules)
+    }
+}
+
+/// The four points of a digest: its little-endian words, as in ketama-style rings.
+fn digest_points(text: &[u8]) -> [u32; 4] {
+    let word = u128::from_le_bytes(Md5::digest(text).into());
+    [0, 32, 64, 96].map(|shift| (word >> shift) as u32)
+}
+
+fn known_slot(place: u32, index: usize) -> usize {
+    (place as usize).wrapping_add(index.wrapping_mul(0x9E37_79B1)) % KNOWN_KEYS
+}
+
+impl Router {
+    /// A router with nothing known yet; `seed` drives what little chance its decisions hold.
+    pub fn new(settings: Settings, seed: u64) -> Result<Router, SettingsError> {
+        settings.validate()?;
+        let shortest_aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or_default();
+        let mean_worth = settings.classes.iter().map(|c| c.worth).fold(f64::INFINITY, f64::min);
+        let routers = f64::from(settings.routers);
+        // However many routers there are, one alone is no crowd: the first request always goes.
+        let first = (FIRST_TOTAL / routers).max(1.0);
+        let idle = Gauge { in_flight: 0, limit: first, first };
+        let mut router = Router::blank(settings, Random(seed), idle);
+        router.corner = router.random.next();
+        router.retry_tokens = (RETRY_KEEP / routers).max(RETRY_LEAST);
+        router.known = vec![(0, usize::MAX); KNOWN_KEYS];
+        router.mean_worth = mean_worth;
+        router.usual = shortest_aim.scaled(SLOW_SHARE);
+        router.shortest_aim = shortest_aim;
+        Ok(router)
+    }
+
+    /// Takes one event that happened at `now` and appends what is to be done.
+    pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
+        self.now = self.now.max(now);
+        match event {
+            Event::Membership { kind, members } => self.on_membership(kind, members),
+            Event::Request(ask) => self.on_request(ask),
+            Event::StreamStarted { id, .. } => _ = self.held.get_mut(&id).map(|h| h.streaming = true),
+            Event::Ended(end) => self.on_end(end),
+            Event::Gone { id } => _ = self.held.get_mut(&id).map(|h| h.answered = true),
+            Event::Timer { token } => match (token & 3, RequestId((token >> 2) as u32)) {
+                (TIMER_ASK, _) => self.ask(),
+                (TIMER_ADVANCE, id) => self.advance(id),
+                (_, id) => self.on_deadline(id),
+            },
+        }
+        out.append(&mut self.out);
+    }
+
+    fn on_membership(&mut self, kind: MembershipKind, members: Vec<Member>) {
+        if matches!(kind, MembershipKind::Full | MembershipKind::Cached) {
+            // What a full list leaves out is gone.
+            self.servers.iter_mut().for_each(|s| s.member.state = ServerState::Gone);
+        }
+        members.into_iter().for_each(|member| self.on_member(member));
+        if self.servers.iter().any(|s| s.is_ready() != s.listed) {
+            let (first_list, routers) = (self.ring.is_empty(), f64::from(self.settings.routers));
+            self.update_ring();
+            if first_list {
+                self.fetches.limit = self.idle.first.max(FIRST_FETCHES * self.ready as f64 / routers);
+            }
+        }
+        if let Discovery::Subscribe { ask_within } = self.settings.discovery {
+            self.on_list_answer(kind, ask_within);
+        }
+    }
+
+    /// A process that is new has no record, is sent little at first, and holds no keys.
+    fn on_member(&mut self, member: Member) {
+        let place = self.by_name.get(&member.server).copied();
+        let same = |s: &&mut Server| s.member.started == member.started;
+        if let Some(server) = place.map(|i| &mut self.servers[i]).filter(same) {
+            server.member = member;
+            return;
+        }
+        // The place of a server that went before any request now held was sent is used again.
+        let longest = self.settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+        let since = self.now.since(longest.scaled(2.0));
+        let unused = |s: &Server| s.is_gone() && !s.listed && s.load.in_flight == 0 && s.last_sent < since;
+        let known = place.map(|i| self.servers[i].listed);
+        let place = place.or_else(|| self.servers.iter().position(unused)).unwrap_or(self.servers.len());
+        let in_flight = self.servers.get(place).map_or(0, |s| s.load.in_flight);
+        let name = member.server.clone();
+        let origin = matches!(self.settings.mode, CacheMode::Aside { origin } if member.kind == Some(origin));
+        let points = |i| digest_points(format!("{name}{i}").as_bytes());
+        let points = (0..if origin { 0 } else { DIGESTS }).flat_map(points).collect();
+        let mut server = Server::new(member, points, origin, Gauge { in_flight, ..self.idle });
+        // Routers that hear of it together do not all send at once.
+        server.due = self.random.next();
+        server.last_sent = self.now;
+        server.listed = known.unwrap_or(false);
+        if place < self.servers.len() {
+            self.known.iter_mut().filter(|k| k.1 == place).for_each(|k| k.1 = usize::MAX);
+        }
+        let old = self.servers.splice(place..(place + 1).min(self.servers.len()), [server]);
+        old.for_each(|s| _ = self.by_name.remove(&s.member.server));
+        self.by_name.insert(name, place);
+    }
+
+    /// Only the points of servers that come or go move: a fleet that grows tells every router at once. Equal
+    /// points go to the server whose name sorts first, whatever the order of the list.
+    fn update_ring(&mut self) {
+        let mut come = Vec::new();
+        for index in 0..self.servers.len() {
+            let server = &mut self.servers[index];
+            let ready = server.is_ready();
+            if std::mem::replace(&mut server.listed, ready) {
+                self.close_drained(index);
+            } else if ready {
+                come.extend(server.points.iter().map(|&point| (point, index)));
+            }
+        }
+        let servers = &self.servers;
+        let name = |index: usize| &servers[index].member.server;
+        let order = |a: &(u32, usize), b: &(u32, usize)| a.0.cmp(&b.0).then_with(|| name(a.1).cmp(name(b.1)));
+        come.sort_unstable_by(order);
+        self.ring.retain(|&(_, index)| servers[index].is_ready());
+        self.ring.append(&mut come);
+        self.ring.sort_by(order);
+        self.ready = self.ring.len() / (4 * DIGESTS as usize);
+    }
+
+    /// The ring owner of a place, then the distinct successors clockwise; the first that is allowed.
+    fn first_candidate(&self, place: u32, mut allowed: impl FnMut(usize) -> bool) -> Option<usize> {
+        let start = self.ring.partition_point(|&(point, _)| point < place);
+        let (mut seen, mut left) = (vec![false; self.servers.len()], self.ready);
+        for &(_, index) in self.ring[start..].iter().chain(&self.ring[..start]) {
+            if !std::mem::replace(&mut seen[index], true) {
+                left -= 1;
+                match allowed(index) {
+                    true => return Some(index),
+                    false if left == 0 => break,
+                    false => {}
+                }
+            }
+        }
+        None
+    }
+
+    /// Subscribes at the start and when that is lost, with jitter and ever later, so that routers do not ask
+    /// together; always well before the router would be deemed told.
+    fn on_list_answer(&mut self, kind: MembershipKind, ask_within: Micros) {
+        match kind {
+            MembershipKind::Cached => self.ask(),
+            MembershipKind::Lost => {
+                let failures = self.asking.failures.saturating_add(1);
+                self.asking = Asking { failures, ..Asking::default() };
+                let share = (ASK_AGAIN * f64::from(1u32 << failures.min(4))).min(0.5);
+                let after = ask_within.scaled(share * (0.5 + 0.5 * self.random.next()));
+                self.set_timer(after, RequestId(0), TIMER_ASK);
+            }
+            _ => self.asking = Asking { subscribed: true, ..Asking::default() },
+        }
+    }
+
+    fn ask(&mut self) {
+        if !self.asking.subscribed && !self.asking.asked {
+            self.asking.asked = true;
+            self.out.push(Action::Subscribe);
+        }
+    }
+
+    fn on_request(&mut self, ask: Request) {
+        if self.held.contains_key(&ask.id) || ask.class.0 >= self.settings.classes.len() {
+            return;
+        }
+        let id = ask.id;
+        let text = ask.key.map_or_else(|| format!("request {}", id.0), |key| key.to_string());
+        let points = digest_points(text.as_bytes());
+        self.mean_worth += (self.settings.classes[ask.class.0].worth - self.mean_worth) / MIX_SPAN;
+        for (i, part) in self.mix.iter_mut().enumerate().filter(|_| ask.tenant.is_some()) {
+            *part += (f64::from(u8::from(ask.tenant == Some(TenantId(i)))) - *part) / MIX_SPAN;
+        }
+        let gap = self.now.since(self.last_came).min(LONGEST_GAP);
+        (self.pace, self.last_came) = (self.pace.toward(gap, 32), self.now);
+        if self.asked_for >= MIX_SPAN {
+            self.asked_for *= 0.5;
+            self.popular.values_mut().for_each(|count| *count *= 0.5);
+            self.popular.retain(|_, count| *count >= 0.5);
+        }
+        self.asked_for += 1.0;
+        *self.popular.entry(points[0]).or_insert(0.0) += 1.0;
+        self.set_timer(ask.expires.since(self.now), id, TIMER_DEADLINE);
+        let slice = f64::from(points[1]) / f64::from(u32::MAX);
+        self.held.insert(id, Held::new(ask, self.now, points[0], slice));
+        self.advance(id);
+    }
+
+    /// How many mean servers' worth of requests a key draws by this router's sample; once is no evidence.
+    fn heat(&self, place: u32) -> f64 {
+        let count = self.popular.get(&place).map_or(0.0, |count| count - 1.0).max(0.0);
+        count / (self.asked_for + MIX_SPAN / 8.0) * self.ready as f64
+    }
+
+    fn advance(&mut self, id: RequestId) {
+        let Some(mut held) = self.held.remove(&id) else { return };
+        if !held.answered && !held.is_out() {
+            self.attempt(&mut held);
+        }
+        self.keep(held);
+    }
+
+    fn attempt(&mut self, held: &mut Held) {
+        match self.choose(held) {
+            Some(server) if self.send(held, server) => {}
+            None if self.ready == 0 && held.ask.expires > self.now => {
+                let after = self.class(held).aim.scaled(LEAST_TIME);
+                self.set_timer(after, held.ask.id, TIMER_ADVANCE);
+            }
+            _ => self.answer(held),
+        }
+    }
+
+    fn keep(&mut self, held: Held) {
+        if !held.answered || held.is_out() {
+            self.held.insert(held.ask.id, held);
+        }
+    }
+
+    fn set_timer(&mut self, after: Micros, id: RequestId, what_for: u64) {
+        self.out.push(Action::SetTimer { after, token: u64::from(id.0) << 2 | what_for });
+    }
+
+    fn class(&self, held: &Held) -> &Class {
+        &self.settings.classes[held.ask.class.0]
+    }
+
+    fn choose(&mut self, held: &Held) -> Option<usize> {
+        let (stretch, chance) = (self.stretch(held), self.random.next());
+        let aside = self.settings.mode != CacheMode::Through;
+        if aside && (held.ask.write || held.missed) {
+            return self.origin(stretch, chance);
+        }
+        let caches = || self.servers.iter().filter(|s| s.is_ready() && !s.is_origin);
+        let (now, rules) = (self.now, &self.settings.rules);
+        let weights = self.settings.weights;
+        let mean = caches().map(|s| s.member.weight).sum::<f64>() / (self.ready as f64).max(1.0);
+        let size =
+            |s: &Server| if weights != Weights::Unknown && mean > 0.0 { s.member.weight / mean } else { 1.0 };
+        let part = |s: &Server| s.warmth(now, rules) * size(s).min(1.0);
+        let most = caches().map(part).fold(0.0, f64::max);
+        let free = |index: usize| !held.ask.write && self.knows(held.place, index);
+        let (mut first, mut paid) = (true, false);
+        // A write needs the origin wherever it runs, so that going elsewhere costs nothing.
+        let spill = held.ask.write || self.retry_tokens >= 1.0;
+        let fetch = aside || self.may_fetch(stretch, chance);
+        // A key hotter than its server has further homes clockwise; each router keeps to one of them.
+        // A further attempt goes to one of a few, or all routers would crowd the next as they did the owner.
+        let spread = (HOT_ROOM * self.heat(held.place)).max(SPREAD * held.attempts.len() as f64);
+        let mut passed_on =
+            self.corner * spread.min((self.ready - held.attempts.len().min(self.ready)) as f64);
+        let found = self.first_candidate(held.place, |index| {
+            let server = &self.servers[index];
+            // A server slower or colder than the best takes its arcs in part, a cold one within its budget.
+            if held.attempts.iter().any(|a| a.server == index)
+                || held.slice * most > part(server)
+                || (server.warmth(now, rules) < 1.0 && !self.has_budget(server))
+            {
+                return false;
+            }
+            if first && passed_on >= size(server) && !held.ask.write {
+                passed_on -= size(server);
+                return false;
+            }
+            // The first that is fit keeps the key; past it a fetch is paid for, unless known there.
+            let near = std::mem::take(&mut first);
+            paid = !near && !free(index) && !held.ask.write;
+            self.has_place(server, stretch * server.capacity(now, rules))
+                && (free(index) || (fetch && (near || spill)))
+        });
+        self.retry_tokens -= if found.is_some() && paid { 1.0 } else { 0.0 };
+        found
+    }
+
+    /// What is not known to be kept is a fetch as often as such requests missed lately: one router of many
+    /// has asked for few of the keys that are kept. What takes longer than hits do is one surely.
+    fn may_fetch(&self, stretch: f64, chance: f64) -> bool {
+        let out = self.held.values().flat_map(|h| &h.attempts).filter(|a| a.fetch && a.fate == Fate::Out);
+        let young = out.filter(|a| self.now.since(a.sent) <= self.usual.scaled(2.0)).count() as f64;
+        let likely = f64::from(self.fetches.in_flight) - young * (1.0 - self.misses);
+        Gauge { in_flight: likely as u32, ..self.fetches }.has_room(stretch, chance)
+    }
+
+    /// Under one, a server's limit spaces requests out, so that many routers together do not crowd it.
+    fn has_place(&self, server: &Server, stretch: f64) -> bool {
+        let limit = server.load.limit * stretch;
+        // The time in which this router sends one request to each server: less often, it sees no jam coming.
+        let round = if server.load.limit < 1.0 { self.pace.scaled(self.ready as f64) } else { Micros(0) };
+        let turn = server.usual.max(round);
+        let spaced = limit >= 1.0 || self.now.since(server.last_sent) >= turn.scaled(1.0 / limit);
+        f64::from(server.load.in_flight) < limit && spaced
+    }
+
+    /// How much of a limit a request may use: more if it is worth much, less if its tenant floods.
+    fn stretch(&self, held: &Held) -> f64 {
+        let worthy = if self.class(held).worth >= 2.0 * self.mean_worth { WORTHY_STRETCH } else { 1.0 };
+        let Some(tenant) = held.ask.tenant.filter(|t| t.0 < self.mix.len()) else { return worthy };
+        let odds = |share: f64| share / (1.0 - share).max(1e-3);
+        let flood = odds(self.mix[tenant.0]) / odds(self.settings.tenants[tenant.0].share).max(1e-3);
+        worthy * (FLOOD / flood.max(1e-3)).min(1.0)
+    }
+
+    fn knows(&self, place: u32, index: usize) -> bool {
+        self.known[known_slot(place, index)] == (place, index)
+    }
+
+    fn origin(&self, stretch: f64, chance: f64) -> Option<usize> {
+        let free = |s: &Server| s.is_origin && s.is_ready() && s.load.has_room(stretch, chance);
+        self.servers.iter().position(free)
+    }
+
+    /// Whether a cold server's budget since this router last sent to it covers one more request. Many routers
+    /// would push it over before any hears that it is slow; where they are few, their limits see to it.
+    fn has_budget(&self, server: &Server) -> bool {
+        let (rules, middle) = (&self.settings.rules, server.last_sent.plus(self.now).scaled(0.5));
+        let budget = COLD_WORK * rules.fall_multiple * server.capacity(middle, rules)
+            / f64::from(self.settings.routers);
+        f64::from(self.settings.routers) <= FIRST_TOTAL
+            || self.now.since(server.last_sent).scaled(budget) >= self.usual.scaled(server.due)
+    }
+
+    /// The one way out for an attempt: deadline, effect, drain and attempt limit hold for whatever chose it.
+    fn send(&mut self, held: &mut Held, index: usize) -> bool {
+        let limits = &self.settings.limits;
+        let allowed = !held.answered
+            && !held.streaming
+            && self.now < held.ask.expires
+            && held.attempts.len() < limits.max_attempts as usize
+            && self.servers[index].is_ready()
+            && (!held.is_out() || limits.second_copies)
+            && self.effect_allows(held, index);
+        if !allowed {
+            return false;
+        }
+        let fetch =
+            self.settings.mode == CacheMode::Through && (held.ask.write || !self.knows(held.place, index));
+        let idle = self.idle_connection(index);
+        held.attempts.push(Attempt { server: index, sent: self.now, fate: Fate::Out, fetch, idle });
+        self.servers[index].last_used = self.now;
+        self.fetches.in_flight += u32::from(fetch);
+        self.servers[index].load.in_flight += 1;
+        self.servers[index].last_sent = self.now;
+        self.servers[index].due = 1.0;
+        let server = self.servers[index].member.server.clone();
+        let timeout = self.patience(held, index);
+        self.out.push(Action::Send { id: held.ask.id, server, timeout });
+        true
+    }
+
+    /// Guards against connections dropped unseen while idle: one as old as those that failed lately is closed
+    /// before it is used. How long the connection was idle, if it is used.
+    fn idle_connection(&mut self, index: usize) -> Option<Micros> {
+        let server = &self.servers[index];
+        let idle = self.now.since(server.last_used);
+        let fresh = server.load.in_flight > 0 || server.last_used == Micros(0);
+        if fresh || idle >= self.settings.connection_idle || idle == Micros(0) {
+            return None;
+        }
+        if idle >= self.stale && self.now < self.stale_until {
+            self.out.push(Action::CloseIdle { server: server.member.server.clone() });
+            return None;
+        }
+        Some(idle)
+    }
+
+    /// A broken idle connection is proof; silence has other causes too: it takes more of it than of answers.
+    fn learn_connection(&mut self, idle: Option<Micros>, outcome: Outcome) {
+        let Some(idle) = idle else { return };
+        self.doubt = match outcome {
+            Outcome::TimedOut => (self.doubt + 1).min(DOUBT),
+            Outcome::Broken => DOUBT,
+            _ => self.doubt.saturating_sub(1),
+        };
+        if self.doubt == DOUBT {
+            let known = if self.now < self.stale_until { self.stale } else { Micros::MAX };
+            self.stale = known.min(idle.scaled(CUT));
+            self.stale_until = self.now.plus(STALE_TIME);
+        }
+    }
+
+    /// Guards against silence of any cause (a hang, a lost answer, a long queue): while a further attempt is
+    /// allowed and earned, this one may take a part of the time left to the aim, and the next has the rest.
+    /// Where late answers are worth something, they are waited for: giving up feeds a jam or a slow origin.
+    fn patience(&self, held: &Held, index: usize) -> Option<Micros> {
+        let (class, tried) = (self.class(held), held.attempts.len() as u32);
+        let left = held.came.plus(class.aim).since(self.now);
+        let part = left.scaled(PATIENCE);
+        let further = class.late_worth == 0.0
+            && class.effect != Effect::Unsafe
+            && tried < self.settings.limits.max_attempts
+            && self.retry_tokens >= 1.0
+            && !self.servers[index].is_origin;
+        let useful = left > class.aim.scaled(LEAST_TIME) && self.now.plus(left) <= held.ask.expires;
+        (further && useful).then_some(part)
+    }
+
+    fn effect_allows(&self, held: &Held, index: usize) -> bool {
+        let Some(first) = held.first_run() else { return true };
+        match self.class(held).effect {
+            Effect::Safe => true,
+            Effect::Unsafe => false,
+            Effect::Keyed { group, memory } => {
+                let (a, b) = (&self.servers[first.server].member, &self.servers[index].member);
+                let close = group == Group::Zone || a.cell == b.cell;
+                (group == Group::All || (a.zone == b.zone && close)) && self.now.since(first.sent) < memory
+            }
+        }
+    }
+
+    /// The one way out for a final answer: declined where that promise is true, else failed.
+    fn answer(&mut self, held: &mut Held) {
+        if held.answered || held.streaming {
+            return;
+        }
+        held.answered = true;
+        let safe = matches!(self.class(held).effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let harmless = safe || held.first_run().is_none();
+        let id = held.ask.id;
+        self.out.push(if harmless { Action::Refuse { id, retry_after: None } } else { Action::Fail { id } });
+    }
+
+    fn on_end(&mut self, end: AttemptEnd) {
+        let Some(mut held) = self.held.remove(&end.id) else { return };
+        let aim = self.class(&held).aim;
+        let tried = held.attempts.get_mut(end.attempt.0 as usize).filter(|a| a.fate == Fate::Out);
+        if let Some(tried) = tried {
+            tried.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRan };
+            let (index, fetch, idle) = (tried.server, tried.fetch, tried.idle);
+            self.servers[index].last_used = self.now;
+            self.learn_connection(idle, end.outcome);
+            // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
+            let slow = end.elapsed > aim.scaled(SLOW_SHARE);
+            self.popular.entry(held.place).and_modify(|count| *count += f64::from(u8::from(slow)));
+            self.servers[index].load.in_flight -= 1;
+            self.fetches.in_flight -= u32::from(fetch);
+            self.close_drained(index);
+            self.learn_load(index, fetch, &end, aim);
+            // What an origin answers is kept where the request missed.
+            let home = held.attempts.iter().rev().map(|a| a.server).find(|&i| !self.servers[i].is_origin);
+            let home = home.unwrap_or(index);
+            let (here, failed) = ((held.place, home), end.note.is_some() || end.outcome == Outcome::TimedOut);
+            let slot = &mut self.known[known_slot(held.place, home)];
+            if end.outcome == Outcome::Success {
+                let keep = (RETRY_KEEP / f64::from(self.settings.routers)).max(RETRY_LEAST);
+                self.retry_tokens = (self.retry_tokens + RETRY_EARN).min(keep);
+                *slot = here;
+            } else if failed && *slot == here {
+                *slot = (0, usize::MAX);
+            }
+            held.answered |= end.complete;
+            held.missed |= end.outcome == Outcome::Miss;
+            if !held.answered && !held.is_out() {
+                if self.try_again(&held, &end) {
+                    self.attempt(&mut held);
+                } else {
+                    self.answer(&mut held);
+                }
+            }
+        }
+        self.keep(held);
+    }
+
+    /// Guards the rule of closing on drains: what is idle is closed at the notice, the rest as attempts end.
+    fn close_drained(&mut self, index: usize) {
+        let server = &self.servers[index];
+        if self.settings.rules.drain_close.is_some() && !server.is_ready() {
+            self.out.push(Action::CloseIdle { server: server.member.server.clone() });
+        }
+    }
+
+    /// How long hits take tells of the server; what fetches take beyond that, or a failure, of the origin.
+    fn learn_load(&mut self, index: usize, fetch: bool, end: &AttemptEnd, aim: Micros) {
+        // Where routers are many, each sees too little of a server to learn in time.
+        let little = f64::from(self.settings.routers) > FIRST_TOTAL;
+        let least = (LEAST_TOTAL / f64::from(self.settings.routers)).min(1.0);
+        let server = &mut self.servers[index];
+        let missed = matches!(end.note, Some(CacheNote::Miss | CacheNote::MissPending));
+        let (half, beyond) = (aim.scaled(SLOW_SHARE), end.elapsed.since(server.usual));
+        // What hangs on a fetch is no server's fault; where little is seen, fetches must have failed first.
+        let trusted = if little { 1.0 - CUT } else { self.fetches.first };
+        let hung = self.fetches.limit < trusted || (fetch && !little);
+        let (served, late) = (end.outcome == Outcome::Success, end.outcome == Outcome::TimedOut);
+        let hit = served && !missed && !server.is_origin;
+        // A quick miss frees a throttled server too: most answers may be misses.
+        let quick = end.elapsed <= half && (served || end.outcome == Outcome::Miss);
+        let freed = quick && server.load.limit < server.load.first;
+        match end.outcome {
+            Outcome::Cancelled | Outcome::Void => return,
+            // An origin's queue must not outlast the tightest aim among those that wait in it.
+            _ if server.is_origin => {
+                let late = end.elapsed > self.shortest_aim || !served;
+                server.load.learn(late, LEAST_LIMIT);
+            }
+            _ if hit || freed || (late && !hung) => {
+                server.load.learn(late || end.elapsed > half, least);
+                let part = if little { 1 } else { 8 };
+                server.usual = server.usual.toward(end.elapsed, part);
+            }
+            // A server that turns all away or cannot be reached is left alone like a failing origin.
+            Outcome::Overloaded | Outcome::Unreachable => {
+                server.load.learn(true, LEAST_LIMIT * least);
+                server.usual = server.usual.max(self.usual);
+                server.down_at = if end.outcome == Outcome::Unreachable { self.now } else { server.down_at };
+            }
+            _ => {}
+        }
+        if hit {
+            self.usual = self.usual.toward(end.elapsed, 8);
+        }
+        if fetch && served && end.note.is_some() {
+            self.misses += (f64::from(u8::from(missed)) - self.misses) / MISS_SPAN;
+        }
+        match end.outcome {
+            Outcome::Success if fetch => self.fetches.learn(beyond > aim, LEAST_LIMIT),
+            Outcome::TimedOut if fetch && hung => self.fetches.learn(beyond > half, LEAST_LIMIT),
+            Outcome::Failure if fetch && missed => self.fetches.learn(true, LEAST_LIMIT),
+            _ => {}
+        }
+    }
+
+    /// Whether a further attempt may help: in time, and within what requests have earned.
+    fn try_again(&mut self, held: &Held, end: &AttemptEnd) -> bool {
+        let in_time = held.ask.expires.since(self.now) >= self.class(held).aim.scaled(LEAST_TIME);
+        // Where a fetch failed, a further one elsewhere only feeds a failing origin.
+        let in_vain = end.outcome == Outcome::Failure && end.note.is_some();
+        let price = if end.outcome == Outcome::Miss { 0.0 } else { 1.0 };
+        let again = in_time && !in_vain && self.retry_tokens >= price;
+        self.retry_tokens -= if again { price } else { 0.0 };
+        again
+    }
+
+    /// The client's time is up: answer, and some grace later forget what never ended.
+    fn on_deadline(&mut self, id: RequestId) {
+        let Some(mut held) = self.held.remove(&id) else { return };
+        let grace = self.settings.rules.answer_grace.max(Micros(1));
+        if held.streaming || self.now < held.ask.expires {
+            return self.keep(held);
+        }
+        self.answer(&mut held);
+        if self.now < held.ask.expires.plus(grace) {
+            self.set_timer(grace, id, TIMER_DEADLINE);
+            self.keep(held);
+        } else {
+            for attempt in held.attempts.iter().filter(|a| a.fate == Fate::Out) {
+                self.servers[attempt.server].load.in_flight -= 1;
+                self.fetches.in_flight -= u32::from(attempt.fetch);
+                self.close_drained(attempt.server);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/bin/onyxpick-benchlink/params.rs
@@ -0,0 +1,182 @@
+//! The settings of an instance, from the pairs of its first message. Keys that are not read here are passed over.
+//!
+//! What a deployment may leave out, and what then holds: `peers_total` 1, `over_share_worth` 1, `customers` none, a
+//! class's `credit` 1 and `late_value` 0, `invariants.drain_close` none,
+//! `weight_kind` off, `limits.max_attempts` 1, what `limits` allows: no, `limits.max_retry_after` 0,
+//! `specifics.mode` through, `discovery` automatic, `limits.conn_idle` without end. All else that is read here must be there.
+
+use crate::wire::WireError;
+use onyxpick::*;
+use std::collections::HashMap;
+
+/// The names that the wire uses where the library takes numbers.
+pub struct Names {
+    pub classes: Vec<String>,
+    pub tenants: Vec<String>,
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+}
+
+struct Params<'a>(HashMap<&'a str, &'a str>);
+
+impl<'a> Params<'a> {
+    fn text(&self, path: &str) -> Result<&'a str, WireError> {
+        self.0.get(path).copied().ok_or_else(|| WireError::new(format!("setting {path} is missing")))
+    }
+
+    fn number(&self, path: &str) -> Result<f64, WireError> {
+        let text = self.text(path)?;
+        match text.parse() {
+            Ok(value) if f64::is_finite(value) && value >= 0.0 => Ok(value),
+            _ => Err(WireError::new(format!("setting {path}: '{text}' is not a number of at least zero"))),
+        }
+    }
+
+    /// A number that a deployment may leave out.
+    fn number_or(&self, path: &str, default: f64) -> Result<f64, WireError> {
+        if self.0.contains_key(path) { self.number(path) } else { Ok(default) }
+    }
+
+    fn flag_or(&self, path: &str, default: bool) -> Result<bool, WireError> {
+        match self.0.get(path).copied() {
+            None => Ok(default),
+            Some("true" | "1") => Ok(true),
+            Some("false" | "0") => Ok(false),
+            Some(text) => Err(WireError::new(format!("setting {path}: '{text}' is neither true nor false"))),
+        }
+    }
+
+    fn time(&self, path: &str) -> Result<Micros, WireError> {
+        Ok(Micros::from_secs_f64(self.number(path)?))
+    }
+
+    /// A time that a deployment may leave out.
+    fn optional_time(&self, path: &str) -> Result<Option<Micros>, WireError> {
+        if self.0.contains_key(path) { self.time(path).map(Some) } else { Ok(None) }
+    }
+
+    fn list(&self, path: &str) -> Vec<String> {
+        let text = self.0.get(path).copied().unwrap_or("");
+        text.split(',').filter(|s| !s.is_empty()).map(str::to_string).collect()
+    }
+}
+
+/// Reads the pairs.
+pub fn read(text: &str) -> Result<(Settings, Names), WireError> {
+    let mut pairs = HashMap::new();
+    for pair in text.split('\t').filter(|p| !p.is_empty()) {
+        let (path, value) =
+            pair.split_once('=').ok_or_else(|| WireError::new(format!("setting '{pair}' has no value")))?;
+        pairs.insert(path, value);
+    }
+    let params = Params(pairs);
+    let zones = params.list("zones");
+    let kinds = params.list("kinds");
+    let (classes, class_names) = classes(&params)?;
+    let (tenants, tenant_names) = tenants(&params)?;
+    let zone = params.0.get("zone").and_then(|zone| zones.iter().position(|z| z == zone)).map(ZoneId);
+    let settings = Settings {
+        routers: params.number_or("peers_total", 1.0)? as u32,
+        zone,
+        classes,
+        tenants,
+        over_quota_worth: params.number_or("over_share_worth", 1.0)?,
+        mode: mode(&params)?,
+        discovery: discovery(&params)?,
+        weights: match params.0.get("weight_kind").copied() {
+            Some("rough") => Weights::Rough,
+            Some("nominal") => Weights::Nominal,
+            _ => Weights::Unknown,
+        },
+        rules: Rules {
+            answer_grace: params.time("invariants.grace_to_answer")?,
+            drain_grace: params.time("invariants.drain_grace")?,
+            cold_share: params.number("invariants.cold_from")?,
+            cold_time: params.time("invariants.cold")?,
+            fall_multiple: params.number("invariants.overload_factor")?,
+            fall_time: params.time("invariants.fall")?,
+            drain_close: params.optional_time("invariants.drain_close")?,
+        },
+        limits: Limits {
+            max_attempts: params.number_or("limits.max_attempts", 1.0)? as u32,
+            cancel: params.flag_or("limits.cancel", false)?,
+            second_copies: params.flag_or("limits.may_duplicate", false)?,
+            retry_after: params.flag_or("limits.retry_after", false)?,
+            max_retry_after: Micros::from_secs_f64(params.number_or("limits.max_retry_after", 0.0)?),
+        },
+        connection_idle: params.optional_time("limits.conn_idle")?.unwrap_or(Micros::MAX),
+    };
+    let names = Names { classes: class_names, tenants: tenant_names, zones, kinds };
+    Ok((settings, names))
+}
+
+fn classes(params: &Params<'_>) -> Result<(Vec<Class>, Vec<String>), WireError> {
+    let count = params.number("request_classes.count")? as usize;
+    let mut classes = (Vec::new(), Vec::new());
+    for i in 0..count {
+        let path = |field: &str| format!("request_classes.{i}.{field}");
+        let effect = match params.text(&path("effect"))? {
+            "idempotent" => Effect::Safe,
+            "deduplicated" => Effect::Keyed {
+                group: match params.text(&path("group"))? {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    "cell" => Group::Cell,
+                    other => {
+                        return Err(WireError::new(format!(
+                            "setting {}: '{other}' is not known",
+                            path("group")
+                        )));
+                    }
+                },
+                memory: params.time(&path("memory_span"))?,
+            },
+            "at_most_once" => Effect::Unsafe,
+            other => {
+                return Err(WireError::new(format!("setting {}: '{other}' is not known", path("effect"))));
+            }
+        };
+        classes.0.push(Class {
+            aim: params.time(&path("target"))?,
+            deadline: params.time(&path("give_up"))?,
+            worth: params.number_or(&path("credit"), 1.0)?,
+            late_worth: params.number_or(&path("late_value"), 0.0)?,
+            effect,
+        });
+        classes.1.push(params.text(&path("name"))?.to_string());
+    }
+    Ok(classes)
+}
+
+fn tenants(params: &Params<'_>) -> Result<(Vec<Tenant>, Vec<String>), WireError> {
+    let count = params.number_or("customers.count", 0.0)? as usize;
+    let mut tenants = (Vec::new(), Vec::new());
+    for i in 0..count {
+        let path = |field: &str| format!("customers.{i}.{field}");
+        tenants.0.push(Tenant {
+            quota_per_s: params.number(&path("quota_per_s"))?,
+            share: params.number_or(&path("share"), 0.0)?,
+        });
+        tenants.1.push(params.text(&path("name"))?.to_string());
+    }
+    Ok(tenants)
+}
+
+fn mode(params: &Params<'_>) -> Result<CacheMode, WireError> {
+    match params.0.get("specifics.mode").copied() {
+        None | Some("through") => Ok(CacheMode::Through),
+        Some("aside") => {
+            let origin = KindId(params.number("specifics.origin_kind")? as usize);
+            Ok(CacheMode::Aside { origin })
+        }
+        Some(other) => Err(WireError::new(format!("setting specifics.mode: '{other}' is not known"))),
+    }
+}
+
+fn discovery(params: &Params<'_>) -> Result<Discovery, WireError> {
+    match params.0.get("discovery").copied() {
+        None | Some("automatic") => Ok(Discovery::Push),
+        Some("subscribe") => Ok(Discovery::Subscribe { ask_within: params.time("invariants.ask_within")? }),
+        Some(other) => Err(WireError::new(format!("setting discovery: '{other}' is not known"))),
+    }
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,107 @@
+//! A router with its list, clock and actions, as an embedding program would hold it.
+#![allow(dead_code)]
+
+use onyxpick::*;
+
+pub fn ms(millis: u64) -> Micros {
+    Micros::from_millis(millis)
+}
+
+pub fn class(effect: Effect) -> Class {
+    Class { aim: ms(300), deadline: ms(1_000), worth: 1.0, late_worth: 0.3, effect }
+}
+
+/// One of four routers. Class 0 is safe, 1 unsafe, 2 keyed (all servers, 400 ms).
+pub fn settings() -> Settings {
+    let keyed = Effect::Keyed { group: Group::All, memory: ms(400) };
+    Settings {
+        routers: 4,
+        classes: vec![class(Effect::Safe), class(Effect::Unsafe), class(keyed)],
+        ..Settings::default()
+    }
+}
+
+pub fn name(i: usize) -> ServerId {
+    ServerId::from(format!("10.0.0.{i}:80").as_str())
+}
+
+pub fn ready(count: usize) -> Vec<Member> {
+    (1..=count).map(|i| Member::ready(name(i))).collect()
+}
+
+pub struct Rig {
+    pub router: Router,
+    pub now: Micros,
+    next_id: u32,
+}
+
+impl Rig {
+    pub fn new(settings: Settings, members: Vec<Member>) -> Rig {
+        let router = Router::new(settings, 1).expect("usable settings");
+        let mut rig = Rig { router, now: ms(100_000), next_id: 0 };
+        rig.list(MembershipKind::Full, members);
+        rig
+    }
+
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        actions
+    }
+
+    pub fn list(&mut self, kind: MembershipKind, members: Vec<Member>) -> Vec<Action> {
+        self.event(Event::Membership { kind, members })
+    }
+
+    /// A request with 800 ms to live.
+    pub fn ask(&mut self, class: usize, key: u64) -> (RequestId, Vec<Action>) {
+        self.next_id += 1;
+        let id = RequestId(self.next_id);
+        let expires = self.now.plus(ms(800));
+        let request = Request {
+            id,
+            class: ClassId(class),
+            tenant: None,
+            key: Some(key),
+            expires,
+            cost_hint: None,
+            retry: false,
+            write: class != 0,
+        };
+        (id, self.event(Event::Request(request)))
+    }
+
+    pub fn end(&mut self, id: RequestId, attempt: u32, outcome: Outcome, took: u64) -> Vec<Action> {
+        self.event(Event::Ended(AttemptEnd {
+            id,
+            attempt: AttemptNo(attempt),
+            outcome,
+            complete: outcome == Outcome::Success,
+            elapsed: ms(took),
+            note: None,
+        }))
+    }
+
+    /// Asks for a key, has it served, and tells by whom.
+    pub fn served_by(&mut self, key: u64) -> Option<ServerId> {
+        let (id, actions) = self.ask(0, key);
+        let server = sent(&actions)?;
+        self.end(id, 0, Outcome::Success, 5);
+        Some(server)
+    }
+}
+
+pub fn sent(actions: &[Action]) -> Option<ServerId> {
+    actions.iter().find_map(|a| match a {
+        Action::Send { server, .. } => Some(server.clone()),
+        _ => None,
+    })
+}
+
+pub fn refused(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Refuse { .. }))
+}
+
+pub fn failed(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Fail { .. }))
+}
--- /dev/null
+++ b/tests/embed.rs
@@ -0,0 +1,147 @@
+//! Several routers in one program, each with a small fake fleet behind it: the public API as an embedding program uses it.
+
+use onyxpick::*;
+use std::collections::{BTreeMap, HashMap};
+
+/// One router with what an embedding program keeps beside it.
+struct Embedded {
+    router: Router,
+    timers: BTreeMap<(Micros, u64), u64>,
+    timers_set: u64,
+    sent: HashMap<RequestId, (ServerId, u32)>,
+    answers: HashMap<RequestId, &'static str>,
+}
+
+impl Embedded {
+    fn new(settings: Settings, seed: u64) -> Result<Embedded, SettingsError> {
+        let router = Router::new(settings, seed)?;
+        let (sent, answers) = (HashMap::new(), HashMap::new());
+        Ok(Embedded { router, timers: BTreeMap::new(), timers_set: 0, sent, answers })
+    }
+
+    fn tell(&mut self, now: Micros, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, server, .. } => {
+                    let attempt = self.sent.get(&id).map_or(0, |s| s.1 + 1);
+                    self.sent.insert(id, (server, attempt));
+                }
+                Action::Refuse { id, .. } => assert!(self.answers.insert(id, "refused").is_none()),
+                Action::Fail { id } => assert!(self.answers.insert(id, "failed").is_none()),
+                Action::SetTimer { after, token } => {
+                    self.timers_set += 1;
+                    self.timers.insert((now.plus(after), self.timers_set), token);
+                }
+                Action::Cancel { .. } | Action::CloseIdle { .. } | Action::Subscribe | Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn served(&mut self, now: Micros, id: RequestId) {
+        let attempt = AttemptNo(self.sent[&id].1);
+        self.answers.insert(id, "served");
+        self.tell(
+            now,
+            Event::Ended(AttemptEnd {
+                id,
+                attempt,
+                outcome: Outcome::Success,
+                complete: true,
+                elapsed: Micros::from_millis(12),
+                note: Some(CacheNote::Hit),
+            }),
+        );
+    }
+}
+
+fn settings() -> Settings {
+    let class = Class {
+        aim: Micros::from_millis(300),
+        deadline: Micros::from_millis(900),
+        worth: 1.0,
+        late_worth: 0.0,
+        effect: Effect::Safe,
+    };
+    Settings { routers: 3, classes: vec![class], ..Settings::default() }
+}
+
+fn request(id: u32, key: u64, now: Micros) -> Event {
+    Event::Request(Request {
+        id: RequestId(id),
+        class: ClassId(0),
+        tenant: None,
+        key: Some(key),
+        expires: now.plus(Micros::from_millis(900)),
+        cost_hint: None,
+        retry: false,
+        write: false,
+    })
+}
+
+#[test]
+fn routers_agree_and_share_nothing() -> Result<(), SettingsError> {
+    let mut routers =
+        [Embedded::new(settings(), 1)?, Embedded::new(settings(), 2)?, Embedded::new(settings(), 3)?];
+    let members: Vec<Member> =
+        (0..6).map(|i| Member::ready(format!("cache-{i}:11211").as_str().into())).collect();
+    let mut now = Micros::from_millis(1_000);
+    for router in &mut routers {
+        let members = members.clone();
+        router.tell(now, Event::Membership { kind: MembershipKind::Full, members });
+    }
+    for id in 0..300 {
+        now = now.plus(Micros::from_millis(15));
+        for router in &mut routers {
+            router.tell(now, request(id, u64::from(id % 50), now));
+            router.served(now, RequestId(id));
+        }
+        let homes = routers.each_ref().map(|r| r.sent[&RequestId(id)].0.clone());
+        assert!(homes.iter().all(|h| *h == homes[0]), "{homes:?}");
+    }
+    // One router finds a server full; the others know nothing of it.
+    let home = routers[1].sent[&RequestId(0)].0.clone();
+    for id in 1_000..1_020 {
+        routers[0].tell(now, request(id, 0, now));
+        let (server, attempt) = routers[0].sent[&RequestId(id)].clone();
+        if server == home {
+            routers[0].tell(
+                now,
+                Event::Ended(AttemptEnd {
+                    id: RequestId(id),
+                    attempt: AttemptNo(attempt),
+                    outcome: Outcome::Overloaded,
+                    complete: false,
+                    elapsed: Micros::from_millis(2),
+                    note: None,
+                }),
+            );
+        }
+        if routers[0].sent[&RequestId(id)].0 != home {
+            routers[0].served(now, RequestId(id));
+        }
+    }
+    for router in &mut routers {
+        router.tell(now, request(2_000, 0, now));
+    }
+    let homes = routers.each_ref().map(|r| r.sent[&RequestId(2_000)].0.clone());
+    assert_ne!(homes[0], home);
+    assert_eq!((&homes[1], &homes[2]), (&home, &home));
+    Ok(())
+}
+
+#[test]
+fn every_request_is_over_when_its_timers_have_run() -> Result<(), SettingsError> {
+    let mut embedded = Embedded::new(settings(), 9)?;
+    let now = Micros::from_millis(1_000);
+    let members = vec![Member::ready("cache-1:11211".into())];
+    embedded.tell(now, Event::Membership { kind: MembershipKind::Full, members });
+    (0..200).for_each(|id| embedded.tell(now, request(id, u64::from(id), now)));
+    while let Some(((due, _), token)) = embedded.timers.pop_first() {
+        embedded.tell(due, Event::Timer { token });
+    }
+    assert_eq!(embedded.answers.len(), 200);
+    assert_eq!(embedded.router.remembered(), (0, 1), "nothing is kept of requests that are over");
+    Ok(())
+}
--- /dev/null
+++ b/tests/random_events.rs
@@ -0,0 +1,320 @@
+//! Random event sequences, sensible and not: no panic, one final answer, none late, effects once, drains kept.
+
+mod common;
+use common::*;
+use onyxpick::*;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use std::collections::HashMap;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Wait(u64),
+    Ask { class: usize, key: u64, life: u64, write: bool, tenant: usize },
+    AskAgain(u32),
+    End { nth: usize, outcome: usize, note: usize },
+    StrayEnd { id: u32, attempt: u32 },
+    Gone(usize),
+    Stream(usize),
+    StrayTimer(u64),
+    List { kind: usize, states: Vec<(usize, usize, u64, u32)> },
+}
+
+const OUTCOMES: [Outcome; 9] = [
+    Outcome::Success,
+    Outcome::Failure,
+    Outcome::Overloaded,
+    Outcome::TimedOut,
+    Outcome::Unreachable,
+    Outcome::Broken,
+    Outcome::Cancelled,
+    Outcome::Void,
+    Outcome::Miss,
+];
+
+fn step() -> impl Strategy<Value = Step> {
+    let member = (0..7usize, 0..3usize, 0..120_000u64, 0..4u32);
+    prop_oneof![
+        4 => (0..400u64).prop_map(Step::Wait),
+        8 => (0..4usize, 0..40u64, 0..900u64, any::<bool>(), 0..3usize)
+            .prop_map(|(class, key, life, write, tenant)| Step::Ask { class, key, life, write, tenant }),
+        1 => (0..60u32).prop_map(Step::AskAgain),
+        8 => (0..6usize, 0..9usize, 0..4usize)
+            .prop_map(|(nth, outcome, note)| Step::End { nth, outcome, note }),
+        1 => (0..60u32, 0..5u32).prop_map(|(id, attempt)| Step::StrayEnd { id, attempt }),
+        1 => (0..9usize).prop_map(Step::Gone),
+        1 => (0..9usize).prop_map(Step::Stream),
+        1 => any::<u64>().prop_map(Step::StrayTimer),
+        2 => (0..4usize, proptest::collection::vec(member, 0..9))
+            .prop_map(|(kind, states)| Step::List { kind, states }),
+    ]
+}
+
+#[derive(Default)]
+struct Sent {
+    server: Option<ServerId>,
+    at: Micros,
+    end: Option<Outcome>,
+}
+
+/// What a router owes and has done for one request.
+struct Case {
+    class: usize,
+    expires: Micros,
+    answers: u32,
+    over: bool,
+    streaming: bool,
+    sent: Vec<Sent>,
+}
+
+struct World {
+    settings: Settings,
+    router: Router,
+    now: Micros,
+    next: u32,
+    cases: HashMap<RequestId, Case>,
+    ids: Vec<RequestId>,
+    timers: Vec<(Micros, u64)>,
+    states: HashMap<ServerId, ServerState>,
+}
+
+impl World {
+    fn new(settings: Settings, seed: u64) -> World {
+        let router = Router::new(settings.clone(), seed).expect("usable settings");
+        let (cases, states) = (HashMap::new(), HashMap::new());
+        World { settings, router, now: ms(100_000), next: 0, cases, ids: vec![], timers: vec![], states }
+    }
+
+    fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.router.handle(self.now, event, &mut actions);
+        for action in actions {
+            match action {
+                Action::Send { id, server, .. } => self.check_send(id, server),
+                Action::Refuse { id, .. } => self.check_answer(id, true),
+                Action::Fail { id } => self.check_answer(id, false),
+                Action::SetTimer { after, token } => self.timers.push((self.now.plus(after), token)),
+                Action::Cancel { .. } | Action::CloseIdle { .. } | Action::Subscribe | Action::Log(_) => {}
+            }
+        }
+    }
+
+    fn check_send(&mut self, id: RequestId, server: ServerId) {
+        let limits = &self.settings.limits;
+        let case = self.cases.get_mut(&id).expect("a send for a known request");
+        assert!(!case.over && !case.streaming, "a send after the end");
+        assert!(self.now < case.expires, "a send after the client's time");
+        assert_eq!(self.states.get(&server), Some(&ServerState::Ready), "a send to {server}");
+        assert!(case.sent.len() < limits.max_attempts as usize);
+        let ran = |s: &&Sent| !s.end.is_some_and(Outcome::never_ran);
+        if let Some(first) = case.sent.iter().find(ran) {
+            match self.settings.classes[case.class].effect {
+                Effect::Safe => {}
+                Effect::Unsafe => panic!("an unsafe request may run twice"),
+                Effect::Keyed { memory, .. } => assert!(self.now.since(first.at) < memory),
+            }
+        }
+        assert!(limits.second_copies || case.sent.iter().all(|s| s.end.is_some()), "two attempts out");
+        case.sent.push(Sent { server: Some(server), at: self.now, end: None });
+    }
+
+    fn check_answer(&mut self, id: RequestId, refused: bool) {
+        let case = self.cases.get_mut(&id).expect("an answer for a known request");
+        assert!(!case.over, "a second answer");
+        assert!(self.now <= case.expires.plus(self.settings.rules.answer_grace), "a late answer");
+        let may_have_run = case.sent.iter().any(|s| !s.end.is_some_and(Outcome::never_ran));
+        if refused && may_have_run {
+            assert_ne!(self.settings.classes[case.class].effect, Effect::Unsafe, "an unsafe one refused");
+        }
+        case.answers += 1;
+        case.over = true;
+    }
+
+    /// Lets time pass, with each timer and each attempt's time-out at its due time.
+    fn wait(&mut self, until: Micros) {
+        loop {
+            let overdue = self.ids.iter().find_map(|id| {
+                let case = &self.cases[id];
+                let out = case.sent.iter().position(|s| s.end.is_none())?;
+                (!case.streaming && case.expires <= until).then_some((case.expires, *id, out))
+            });
+            let timer = self.timers.iter().copied().filter(|t| t.0 <= until).min();
+            match (overdue, timer) {
+                (Some((at, id, out)), timer) if timer.is_none_or(|t| at <= t.0) => {
+                    self.now = self.now.max(at);
+                    self.end(id, out, Outcome::TimedOut, None);
+                }
+                (_, Some(timer)) => {
+                    let place = self.timers.iter().position(|t| *t == timer).expect("the timer");
+                    self.timers.swap_remove(place);
+                    self.now = self.now.max(timer.0);
+                    self.event(Event::Timer { token: timer.1 });
+                }
+                _ => break,
+            }
+        }
+        self.now = self.now.max(until);
+    }
+
+    fn end(&mut self, id: RequestId, out: usize, outcome: Outcome, note: Option<CacheNote>) {
+        let case = self.cases.get_mut(&id).expect("a known request");
+        case.sent[out].end = Some(outcome);
+        let ends = outcome == Outcome::Success || (case.streaming && outcome == Outcome::Broken);
+        case.answers += u32::from(ends && !case.over);
+        case.over |= ends;
+        let (complete, elapsed) = (case.over, self.now.since(case.sent[out].at));
+        let attempt = AttemptNo(out as u32);
+        self.event(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note }));
+    }
+
+    fn list(&mut self, kind: usize, states: &[(usize, usize, u64, u32)]) {
+        let kind =
+            [MembershipKind::Changes, MembershipKind::Full, MembershipKind::Cached, MembershipKind::Lost]
+                [kind];
+        let states = if kind == MembershipKind::Lost { &[] } else { states };
+        if matches!(kind, MembershipKind::Full | MembershipKind::Cached) {
+            self.states.values_mut().for_each(|s| *s = ServerState::Gone);
+        }
+        let member = |&(server, state, started, weight): &(usize, usize, u64, u32)| Member {
+            state: [ServerState::Ready, ServerState::Draining, ServerState::Gone][state],
+            started: ms(started),
+            weight: [0.0, 1.0, f64::MAX, 0.5][weight as usize],
+            kind: (server == 0).then_some(KindId(9)),
+            zone: Some(ZoneId(server % 3)),
+            ..Member::ready(name(server))
+        };
+        let members: Vec<Member> = states.iter().map(member).collect();
+        for member in &members {
+            self.states.insert(member.server.clone(), member.state);
+        }
+        self.event(Event::Membership { kind, members });
+    }
+
+    fn step(&mut self, step: &Step) {
+        match step {
+            Step::Wait(millis) => self.wait(self.now.plus(ms(*millis))),
+            Step::Ask { class, key, life, write, tenant } => self.ask(*class, *key, *life, *write, *tenant),
+            Step::AskAgain(id) => {
+                if self.cases.contains_key(&RequestId(*id)) {
+                    let live = !self.cases[&RequestId(*id)].over;
+                    let request = request(*id, 0, 1, self.now.plus(ms(500)), false, 0);
+                    if live {
+                        self.event(Event::Request(request));
+                    }
+                }
+            }
+            Step::End { nth, outcome, note } => {
+                let out = self.ids.iter().flat_map(|id| {
+                    let sent = self.cases[id].sent.iter().enumerate();
+                    sent.filter(|s| s.1.end.is_none()).map(move |s| (*id, s.0))
+                });
+                let Some((id, out)) = out.collect::<Vec<_>>().get(*nth).copied() else { return };
+                let notes = [None, Some(CacheNote::Hit), Some(CacheNote::Miss), Some(CacheNote::MissPending)];
+                self.end(id, out, OUTCOMES[*outcome], notes[*note]);
+            }
+            Step::StrayEnd { id, attempt } => {
+                let known = self.cases.get(&RequestId(*id));
+                if known.is_some_and(|c| c.sent.get(*attempt as usize).is_some_and(|s| s.end.is_none())) {
+                    return;
+                }
+                self.event(Event::Ended(AttemptEnd {
+                    id: RequestId(*id),
+                    attempt: AttemptNo(*attempt),
+                    outcome: Outcome::Failure,
+                    complete: false,
+                    elapsed: ms(1),
+                    note: None,
+                }));
+            }
+            Step::Gone(nth) => {
+                let Some(&id) = self.ids.iter().rev().nth(*nth) else { return };
+                let case = self.cases.get_mut(&id).expect("a known request");
+                case.answers += u32::from(!case.over);
+                case.over = true;
+                self.event(Event::Gone { id });
+            }
+            Step::Stream(nth) => {
+                let Some(&id) = self.ids.iter().rev().nth(*nth) else { return };
+                let case = self.cases.get_mut(&id).expect("a known request");
+                let out = case.sent.iter().position(|s| s.end.is_none());
+                let Some(out) = out.filter(|_| !case.over) else { return };
+                case.streaming = true;
+                self.event(Event::StreamStarted { id, attempt: AttemptNo(out as u32) });
+            }
+            Step::StrayTimer(token) => self.event(Event::Timer { token: *token }),
+            Step::List { kind, states } => self.list(*kind, states),
+        }
+    }
+
+    fn ask(&mut self, class: usize, key: u64, life: u64, write: bool, tenant: usize) {
+        let id = RequestId(self.next);
+        self.next += 1;
+        let expires = self.now.plus(ms(life));
+        if class < self.settings.classes.len() {
+            let (sent, answers, over, streaming) = (vec![], 0, false, false);
+            self.cases.insert(id, Case { class, expires, answers, over, streaming, sent });
+            self.ids.push(id);
+        }
+        self.event(Event::Request(request(id.0, class, key, expires, write, tenant)));
+    }
+}
+
+fn request(id: u32, class: usize, key: u64, expires: Micros, write: bool, tenant: usize) -> Request {
+    Request {
+        id: RequestId(id),
+        class: ClassId(class),
+        tenant: Some(TenantId(tenant)),
+        key: (key > 0).then_some(key),
+        expires,
+        cost_hint: None,
+        retry: false,
+        write,
+    }
+}
+
+fn variant(mode: u8) -> Settings {
+    let mut settings = settings();
+    if mode & 1 == 1 {
+        settings.mode = CacheMode::Aside { origin: KindId(9) };
+    }
+    if mode & 2 == 2 {
+        settings.discovery = Discovery::Subscribe { ask_within: ms(10_000) };
+        settings.tenants =
+            vec![Tenant { quota_per_s: 5.0, share: 0.7 }, Tenant { quota_per_s: 0.0, share: 0.0 }];
+    }
+    settings.limits.second_copies = mode & 4 == 4;
+    if mode & 8 == 8 {
+        settings.limits.max_attempts = 1;
+        settings.rules.cold_time = Micros(0);
+        settings.rules.fall_multiple = 0.0;
+    }
+    settings
+}
+
+#[test]
+fn random_events_break_no_rule() {
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(Config { cases: 600, ..Config::default() }, rng);
+    let steps = proptest::collection::vec(step(), 1..120);
+    let result = runner.run(&(0..16u8, any::<u64>(), steps), |(mode, seed, steps)| {
+        let mut worlds = [World::new(variant(mode), seed), World::new(variant(mode), seed)];
+        for world in &mut worlds {
+            world.list(1, &[(1, 0, 0, 1), (2, 0, 0, 1), (3, 0, 99_000, 1), (0, 0, 0, 1)]);
+            steps.iter().for_each(|step| world.step(step));
+            world.wait(world.now.plus(ms(5_000)));
+            for (id, case) in &world.cases {
+                prop_assert!(case.streaming || case.answers == 1, "{:?} got {} answers", id, case.answers);
+            }
+        }
+        let [a, b] = &worlds;
+        for (id, case) in &a.cases {
+            let twin: Vec<_> = b.cases[id].sent.iter().map(|s| (&s.server, s.at)).collect();
+            let sent: Vec<_> = case.sent.iter().map(|s| (&s.server, s.at)).collect();
+            prop_assert_eq!(sent, twin, "the same events gave other sends");
+        }
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
--- /dev/null
+++ b/tests/ring.rs
@@ -0,0 +1,98 @@
+//! The ring, seen through the sends of idle routers.
+
+mod common;
+use common::*;
+use onyxpick::*;
+use std::collections::HashMap;
+
+/// Computed apart from this crate: MD5 digests cut into little-endian words, five servers 10.0.0.1:80 to 10.0.0.5:80.
+/// Key 769 lies past the highest point and wraps to the lowest.
+const GOLDEN: [(u64, usize); 7] =
+    [(1, 5), (2, 2), (3, 2), (77, 1), (1000, 1), (4569004829183723, 4), (769, 2)];
+
+fn owners(rig: &mut Rig, keys: std::ops::Range<u64>) -> Vec<ServerId> {
+    keys.map(|key| rig.served_by(key).expect("a ready server")).collect()
+}
+
+#[test]
+fn keys_go_to_the_first_point_at_or_above_and_wrap() {
+    let mut rig = Rig::new(settings(), ready(5));
+    for (key, server) in GOLDEN {
+        assert_eq!(rig.served_by(key), Some(name(server)), "key {key}");
+    }
+}
+
+#[test]
+fn the_order_of_the_list_does_not_matter() {
+    let mut backwards = ready(9);
+    backwards.reverse();
+    let mut a = Rig::new(settings(), ready(9));
+    let mut b = Rig::new(settings(), backwards);
+    assert_eq!(owners(&mut a, 0..500), owners(&mut b, 0..500));
+}
+
+#[test]
+fn arcs_are_even() {
+    let mut rig = Rig::new(settings(), ready(10));
+    let mut count = HashMap::new();
+    for owner in owners(&mut rig, 0..10_000) {
+        *count.entry(owner).or_insert(0) += 1;
+    }
+    assert_eq!(count.len(), 10);
+    for (server, n) in count {
+        assert!((700..1_350).contains(&n), "{server} owns {n} of 10000 keys");
+    }
+}
+
+#[test]
+fn only_the_keys_of_a_departed_server_move() {
+    let mut rig = Rig::new(settings(), ready(8));
+    let before = owners(&mut rig, 0..2_000);
+    let mut drained = ready(8);
+    drained[3].state = ServerState::Draining;
+    rig.list(MembershipKind::Changes, vec![drained[3].clone()]);
+    let after = owners(&mut rig, 0..2_000);
+    for (was, is) in before.iter().zip(&after) {
+        assert_ne!(*is, name(4), "a draining server is off the ring");
+        assert!(was == is || *was == name(4), "a key of {was} moved to {is}");
+    }
+    rig.list(MembershipKind::Changes, vec![ready(8)[3].clone()]);
+    assert_eq!(owners(&mut rig, 0..2_000), before);
+}
+
+#[test]
+fn requests_without_a_key_are_placed_by_their_number() {
+    let place = |id: u32| {
+        let mut rig = Rig::new(settings(), ready(6));
+        let request = Request {
+            id: RequestId(id),
+            class: ClassId(0),
+            tenant: None,
+            key: None,
+            expires: rig.now.plus(ms(500)),
+            cost_hint: None,
+            retry: false,
+            write: false,
+        };
+        sent(&rig.event(Event::Request(request))).expect("a ready server")
+    };
+    assert_eq!(place(12), place(12));
+    let used: std::collections::HashSet<_> = (0..60).map(place).collect();
+    assert_eq!(used.len(), 6);
+}
+
+/// Guards the order of a full list: a newcomer that stands before a server that stays never takes its place.
+#[test]
+fn a_full_list_moves_only_the_keys_of_who_comes_and_goes() {
+    let mut rig = Rig::new(settings(), ready(4));
+    owners(&mut rig, 0..200);
+    rig.now = rig.now.plus(ms(60_000));
+    // 10.0.0.9 comes first in the list, 10.0.0.1 has left, the rest stays.
+    let mut members = vec![Member::ready(name(9))];
+    members.extend(ready(4).split_off(1));
+    rig.list(MembershipKind::Full, members.clone());
+    let mut anew = Rig::new(settings(), members);
+    let owners_now = owners(&mut rig, 0..500);
+    assert!(owners_now.contains(&name(9)) && !owners_now.contains(&name(1)));
+    assert_eq!(owners_now, owners(&mut anew, 0..500));
+}
--- /dev/null
+++ b/tests/rules.rs
@@ -0,0 +1,231 @@
+//! The four rules, one by one.
+
+mod common;
+use common::*;
+use onyxpick::*;
+
+fn deadline_of(actions: &[Action]) -> (Micros, u64) {
+    let timer = actions.iter().find_map(|a| match a {
+        Action::SetTimer { after, token } => Some((*after, *token)),
+        _ => None,
+    });
+    timer.expect("a deadline timer")
+}
+
+#[test]
+fn an_attempt_that_hangs_is_answered_when_the_time_is_up() {
+    let mut rig = Rig::new(settings(), ready(3));
+    let (_, actions) = rig.ask(0, 5);
+    let (after, token) = deadline_of(&actions);
+    assert!(after <= ms(800));
+    rig.now = rig.now.plus(after);
+    assert!(refused(&rig.event(Event::Timer { token })));
+    assert_eq!(
+        rig.event(Event::Timer { token }).iter().filter(|a| matches!(a, Action::Refuse { .. })).count(),
+        0
+    );
+}
+
+#[test]
+fn nothing_is_sent_after_the_client_left() {
+    let mut rig = Rig::new(settings(), ready(3));
+    let (id, _) = rig.ask(0, 5);
+    rig.event(Event::Gone { id });
+    assert_eq!(rig.end(id, 0, Outcome::Unreachable, 20), vec![]);
+}
+
+#[test]
+fn an_unsafe_request_is_tried_again_only_when_it_never_ran() {
+    for (outcome, again) in [
+        (Outcome::Overloaded, true),
+        (Outcome::Unreachable, true),
+        (Outcome::Failure, false),
+        (Outcome::Broken, false),
+        (Outcome::TimedOut, false),
+    ] {
+        let mut rig = Rig::new(settings(), ready(3));
+        let (id, _) = rig.ask(1, 5);
+        let actions = rig.end(id, 0, outcome, 20);
+        assert_eq!(sent(&actions).is_some(), again, "{outcome:?}");
+        assert_eq!(failed(&actions), !again, "{outcome:?}: what may have run is failed, never refused");
+        assert!(!refused(&actions));
+    }
+}
+
+#[test]
+fn an_unsafe_request_that_hangs_is_failed_not_refused() {
+    let mut rig = Rig::new(settings(), ready(3));
+    let (_, actions) = rig.ask(1, 5);
+    let (after, token) = deadline_of(&actions);
+    rig.now = rig.now.plus(after);
+    let actions = rig.event(Event::Timer { token });
+    assert!(failed(&actions) && !refused(&actions));
+}
+
+#[test]
+fn a_keyed_request_is_repeated_only_while_it_is_remembered() {
+    let mut rig = Rig::new(settings(), ready(3));
+    let (id, _) = rig.ask(2, 5);
+    rig.now = rig.now.plus(ms(100));
+    assert!(sent(&rig.end(id, 0, Outcome::Broken, 100)).is_some());
+
+    let mut rig = Rig::new(settings(), ready(3));
+    let (id, _) = rig.ask(2, 5);
+    rig.now = rig.now.plus(ms(400));
+    let actions = rig.end(id, 0, Outcome::Broken, 400);
+    assert_eq!(sent(&actions), None, "its memory is over");
+    assert!(refused(&actions), "all servers share the memory, so that the client may still repeat it");
+}
+
+#[test]
+fn a_keyed_request_stays_in_its_zone() {
+    let mut settings = settings();
+    settings.classes[2].effect = Effect::Keyed { group: Group::Zone, memory: ms(400) };
+    let mut members = ready(3);
+    for (i, member) in members.iter_mut().enumerate() {
+        member.zone = Some(ZoneId(i));
+    }
+    let mut rig = Rig::new(settings, members);
+    let (id, _) = rig.ask(2, 5);
+    let actions = rig.end(id, 0, Outcome::Broken, 10);
+    assert_eq!(sent(&actions), None);
+    assert!(failed(&actions) && !refused(&actions));
+}
+
+#[test]
+fn attempts_are_limited() {
+    let mut rig = Rig::new(settings(), ready(9));
+    let (id, _) = rig.ask(0, 5);
+    let mut sends = 1;
+    for attempt in 0..9 {
+        sends += usize::from(sent(&rig.end(id, attempt, Outcome::Unreachable, 1)).is_some());
+    }
+    assert_eq!(sends, 3);
+}
+
+#[test]
+fn no_retry_goes_to_a_server_that_drains_meanwhile() {
+    let mut rig = Rig::new(settings(), ready(2));
+    let (id, actions) = rig.ask(0, 5);
+    let first = sent(&actions).expect("sent");
+    let mut gone: Vec<Member> = ready(2).into_iter().filter(|m| m.server != first).collect();
+    gone[0].state = ServerState::Draining;
+    rig.list(MembershipKind::Changes, gone);
+    let actions = rig.end(id, 0, Outcome::Unreachable, 5);
+    assert_eq!(sent(&actions), None);
+    assert!(refused(&actions));
+}
+
+#[test]
+fn with_no_server_a_request_is_held_and_sent_when_one_comes() {
+    let mut rig = Rig::new(settings(), vec![]);
+    let (_, actions) = rig.ask(0, 5);
+    assert_eq!(sent(&actions), None);
+    assert!(!refused(&actions));
+    let look_again = actions.iter().filter_map(|a| match a {
+        Action::SetTimer { after, token } if *after < ms(100) => Some(*token),
+        _ => None,
+    });
+    let token = look_again.max().expect("a timer to look again");
+    rig.list(MembershipKind::Full, ready(1));
+    rig.now = rig.now.plus(ms(30));
+    assert_eq!(sent(&rig.event(Event::Timer { token })), Some(name(1)));
+}
+
+/// Guards the fourth rule: a started server is sent its present capacity's share of its arcs and no more than that
+/// share of what warm ones are sent; it gets all of them back when warm.
+#[test]
+fn a_cold_server_takes_a_growing_part_of_its_arcs() {
+    let share_at = |age: u64| {
+        let mut members = ready(4);
+        members[0].started = ms(100_000 - age);
+        let mut rig = Rig::new(settings(), members);
+        (0..4_000).filter(|&key| rig.served_by(key) == Some(name(1))).count()
+    };
+    let (fresh, half, warm) = (share_at(0), share_at(15_000), share_at(30_000));
+    assert!(fresh < warm / 5, "fresh {fresh}, warm {warm}");
+    assert!(half > fresh && half < warm * 3 / 4, "half {half}, warm {warm}");
+    assert!(warm > 700, "warm {warm}");
+}
+
+#[test]
+fn a_server_that_was_down_is_cold_when_it_comes_back() {
+    let mut rig = Rig::new(settings(), ready(2));
+    let key = (0..).find(|&key| rig.served_by(key) == Some(name(1))).expect("a key of server 1");
+    let (id, _) = rig.ask(0, key);
+    rig.end(id, 0, Outcome::Unreachable, 5);
+    rig.end(id, 1, Outcome::Success, 5);
+    let served = (0..400).filter(|&key| rig.served_by(key) == Some(name(1))).count();
+    assert!(served < 60, "{served} of 400 keys at once to a server that has just been down");
+}
+
+/// Guards against refusing everything while the whole fleet is new: slices are measured against the warmest server.
+#[test]
+fn a_fleet_that_is_cold_as_a_whole_serves_all_keys() {
+    let mut members = ready(4);
+    members.iter_mut().for_each(|m| m.started = ms(99_000));
+    let mut rig = Rig::new(settings(), members);
+    let mut served = 0;
+    for key in 0..200 {
+        served += usize::from(rig.served_by(key).is_some());
+        rig.now = rig.now.plus(ms(20));
+    }
+    assert!(served > 150, "{served} of 200");
+}
+
+/// Guards the fourth rule where hundreds of routers share nothing: a hot key that falls to a cold server would come
+/// from each of them once before any hears that the server is slow.
+#[test]
+fn many_routers_together_stay_within_a_cold_servers_budget() {
+    let mut members = ready(4);
+    members[0].started = ms(85_000);
+    let mut few = Rig::new(settings(), members.clone());
+    let key = (0..).find(|&key| few.served_by(key) == Some(name(1))).expect("a key of the cold server");
+    let routers: u32 = 200;
+    let mut to_cold = 0;
+    for seed in 0..routers {
+        let mut rig = Rig::new(settings(), vec![]);
+        rig.router = Router::new(Settings { routers, ..settings() }, seed.into()).expect("usable settings");
+        rig.list(MembershipKind::Full, members.clone());
+        for _ in 0..4 {
+            let (id, actions) = rig.ask(0, key);
+            to_cold += usize::from(sent(&actions) == Some(name(1)));
+            rig.end(id, 0, Outcome::Success, 75);
+            rig.now = rig.now.plus(ms(500));
+        }
+    }
+    // 0.75 of 2 x 53% of a core for 1.5 s, at 75 to 150 ms a request, is 8 to 16; chance adds half at most.
+    assert!((1..24).contains(&to_cold), "{to_cold} requests in 2 s");
+}
+
+fn closes(actions: &[Action], server: &ServerId) -> bool {
+    actions.contains(&Action::CloseIdle { server: server.clone() })
+}
+
+/// Guards closing on drains, where it is a rule: at the notice, and again whenever something ends there.
+#[test]
+fn idle_connections_to_a_draining_server_are_closed() {
+    let mut settings = settings();
+    settings.rules.drain_close = Some(ms(800));
+    let mut rig = Rig::new(settings.clone(), ready(3));
+    let (id, actions) = rig.ask(0, 5);
+    let busy = sent(&actions).expect("sent");
+    let mut drained = ready(3);
+    drained.iter_mut().for_each(|m| m.state = ServerState::Draining);
+    let actions = rig.list(MembershipKind::Changes, drained);
+    assert!((1..=3).all(|i| closes(&actions, &name(i))), "several drains at once: {actions:?}");
+    let actions = rig.end(id, 0, Outcome::Success, 20);
+    assert!(closes(&actions, &busy), "drained while working: {actions:?}");
+
+    let mut rig = Rig::new(settings.clone(), ready(3));
+    let actions = rig.list(MembershipKind::Full, ready(2));
+    assert!(closes(&actions, &name(3)), "left out of a full list");
+    assert!(!closes(&actions, &name(1)));
+
+    let mut rig = Rig::new(settings, ready(3));
+    let (id, actions) = rig.ask(0, 5);
+    let server = sent(&actions).expect("sent");
+    rig.list(MembershipKind::Full, ready(3).into_iter().filter(|m| m.server != server).collect());
+    rig.event(Event::Gone { id });
+    assert!(closes(&rig.end(id, 0, Outcome::TimedOut, 20), &server), "a last outcome after the client left");
+}
