--- /dev/null
+++ b/src/bin/asterport/driver.rs
@@ -0,0 +1,292 @@
+//! Drives the decision module: events in, actions out. The only place that calls [`Router::handle`].
+//!
+//! It owns the timers, the open requests and their attempts, and sees to it that each attempt ends once and each
+//! request has one final answer. It decides nothing.
+
+use crate::resp::Command;
+use crate::servers::{Ended, Servers};
+use bytes::Bytes;
+use onyxpick::*;
+use std::cell::RefCell;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Duration, Instant, sleep_until};
+
+/// One monotonic clock, set to Unix time at the start so that a cache server's start compares with it.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: Instant,
+    unix: Micros,
+}
+
+impl Clock {
+    pub fn new() -> Clock {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        Clock { start: Instant::now(), unix: Micros(unix.as_micros() as u64) }
+    }
+
+    pub fn now(&self) -> Micros {
+        self.unix.plus(Micros(self.start.elapsed().as_micros() as u64))
+    }
+
+    /// The instant of a point in time.
+    fn instant(&self, at: Micros) -> Instant {
+        self.start + duration(at.since(self.unix))
+    }
+}
+
+pub fn duration(time: Micros) -> Duration {
+    Duration::from_micros(time.0)
+}
+
+/// A request's final answer.
+#[derive(Debug)]
+pub enum Answer {
+    Served(Bytes),
+    Refused(Option<Micros>),
+    Failed,
+}
+
+/// What a client asks, without the id that the driver gives it.
+pub struct Ask {
+    pub class: ClassId,
+    pub tenant: Option<TenantId>,
+    pub key: u64,
+    pub wait: Micros,
+    pub cost_hint: Option<Micros>,
+    pub retry: bool,
+    pub command: Command,
+}
+
+/// A request until it has its answer and its last attempt has ended.
+struct Open {
+    command: Rc<Command>,
+    expires: Micros,
+    /// Taken by the final answer.
+    reply: Option<oneshot::Sender<Answer>>,
+    /// One for each attempt so far, dropped when it ends; sending on it cancels the attempt.
+    attempts: Vec<Option<oneshot::Sender<()>>>,
+}
+
+impl Open {
+    fn is_over(&self) -> bool {
+        self.reply.is_none() && self.attempts.iter().all(Option::is_none)
+    }
+}
+
+struct State {
+    router: Router,
+    open: HashMap<RequestId, Open>,
+    last_id: u32,
+    events: VecDeque<Event>,
+    /// An event is being handled: actions may bring further ones, which wait their turn.
+    handling: bool,
+    timers: BinaryHeap<Reverse<(Instant, u64)>>,
+}
+
+pub struct Driver {
+    state: RefCell<State>,
+    servers: Rc<Servers>,
+    clock: Clock,
+    timer_set: Notify,
+    /// The module asks for the list.
+    pub subscribe: Notify,
+}
+
+impl Driver {
+    pub fn new(router: Router, servers: Rc<Servers>) -> Rc<Driver> {
+        let state = State {
+            router,
+            open: HashMap::new(),
+            last_id: 0,
+            events: VecDeque::new(),
+            handling: false,
+            timers: BinaryHeap::new(),
+        };
+        Rc::new(Driver {
+            state: RefCell::new(state),
+            servers,
+            clock: Clock::new(),
+            timer_set: Notify::new(),
+            subscribe: Notify::new(),
+        })
+    }
+
+    /// Takes a request; its one final answer comes on the receiver.
+    pub fn request(self: &Rc<Self>, ask: Ask) -> (RequestId, oneshot::Receiver<Answer>) {
+        let (reply, answer) = oneshot::channel();
+        let expires = self.clock.now().plus(ask.wait);
+        let write = ask.command.is_write();
+        let id = {
+            let mut state = self.state.borrow_mut();
+            state.last_id = state.last_id.wrapping_add(1);
+            let id = RequestId(state.last_id);
+            let command = Rc::new(ask.command);
+            state.open.insert(id, Open { command, expires, reply: Some(reply), attempts: Vec::new() });
+            id
+        };
+        self.handle(Event::Request(Request {
+            id,
+            class: ask.class,
+            tenant: ask.tenant,
+            key: Some(ask.key),
+            expires,
+            cost_hint: ask.cost_hint,
+            retry: ask.retry,
+            write,
+        }));
+        (id, answer)
+    }
+
+    /// The client has left: nothing more is owed. Attempts that are out run on to their end.
+    pub fn gone(self: &Rc<Self>, id: RequestId) {
+        let owed = self.state.borrow_mut().open.get_mut(&id).and_then(|open| open.reply.take());
+        if owed.is_some() {
+            self.handle(Event::Gone { id });
+            self.forget(id);
+        }
+    }
+
+    pub fn membership(self: &Rc<Self>, kind: MembershipKind, members: Vec<Member>) {
+        self.handle(Event::Membership { kind, members });
+    }
+
+    /// Fires the timers, for as long as the program runs.
+    pub async fn run_timers(self: Rc<Self>) {
+        loop {
+            let next = self.state.borrow().timers.peek().map(|timer| timer.0.0);
+            tokio::select! {
+                () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
+                () = self.timer_set.notified() => continue,
+            }
+            loop {
+                let mut state = self.state.borrow_mut();
+                match state.timers.peek() {
+                    Some(Reverse((at, _))) if *at <= Instant::now() => {}
+                    _ => break,
+                }
+                let Some(Reverse((_, token))) = state.timers.pop() else { break };
+                drop(state);
+                self.handle(Event::Timer { token });
+            }
+        }
+    }
+
+    /// Feeds the module one event and carries out what it wants done, and so on with the events that come of it.
+    fn handle(self: &Rc<Self>, event: Event) {
+        let mut state = self.state.borrow_mut();
+        state.events.push_back(event);
+        if std::mem::replace(&mut state.handling, true) {
+            return;
+        }
+        let mut actions = Vec::new();
+        while let Some(event) = state.events.pop_front() {
+            state.router.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.carry_out(&mut state, action);
+            }
+        }
+        state.handling = false;
+    }
+
+    fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(state, id, server, timeout),
+            Action::Cancel { id, attempt } => {
+                let open = state.open.get_mut(&id);
+                if let Some(cancel) = open.and_then(|o| o.attempts.get_mut(attempt.0 as usize)?.take()) {
+                    let _ = cancel.send(());
+                }
+            }
+            Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
+            Action::Fail { id } => answer(state, id, Answer::Failed),
+            Action::SetTimer { after, token } => {
+                state.timers.push(Reverse((Instant::now() + duration(after), token)));
+                self.timer_set.notify_one();
+            }
+            Action::CloseIdle { server } => self.servers.close_idle(&server),
+            Action::Subscribe => self.subscribe.notify_one(),
+            Action::Log(text) => eprintln!("asterport: {text}"),
+        }
+    }
+
+    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, timeout: Option<Micros>) {
+        let Some(open) = state.open.get_mut(&id) else { return };
+        let attempt = AttemptNo(open.attempts.len() as u32);
+        let now = self.clock.now();
+        let until = timeout.map_or(open.expires, |timeout| now.plus(timeout).min(open.expires));
+        if open.reply.is_none() || until <= now {
+            // Guards the rule that nothing goes out for a request that has its answer or no time left.
+            open.attempts.push(None);
+            let (outcome, elapsed, note) = (Outcome::Void, Micros(0), None);
+            let complete = open.reply.is_none();
+            state.events.push_back(Event::Ended(AttemptEnd {
+                id,
+                attempt,
+                outcome,
+                complete,
+                elapsed,
+                note,
+            }));
+            return;
+        }
+        let (cancel, cancelled) = oneshot::channel();
+        open.attempts.push(Some(cancel));
+        let work = self.servers.clone().attempt(server, open.command.clone(), self.clock.instant(until));
+        let driver = self.clone();
+        tokio::task::spawn_local(async move {
+            let ended = tokio::select! {
+                ended = work => ended,
+                _ = cancelled => Outcome::Cancelled.into(),
+            };
+            driver.ended(id, attempt, ended, driver.clock.now().since(now));
+        });
+    }
+
+    /// The one place where an attempt ends. The first that serves is the request's final answer.
+    fn ended(self: &Rc<Self>, id: RequestId, attempt: AttemptNo, ended: Ended, elapsed: Micros) {
+        let complete = {
+            let mut state = self.state.borrow_mut();
+            if let Some(bytes) = ended.answer {
+                answer(&mut state, id, Answer::Served(bytes));
+            }
+            match state.open.get_mut(&id) {
+                Some(open) => {
+                    open.attempts[attempt.0 as usize] = None;
+                    open.reply.is_none()
+                }
+                None => true,
+            }
+        };
+        let Ended { outcome, note, .. } = ended;
+        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note }));
+        self.forget(id);
+    }
+
+    fn forget(&self, id: RequestId) {
+        let mut state = self.state.borrow_mut();
+        if state.open.get(&id).is_some_and(Open::is_over) {
+            state.open.remove(&id);
+        }
+    }
+
+    /// How many requests wait for their answer.
+    pub fn owed(&self) -> usize {
+        self.state.borrow().open.values().filter(|open| open.reply.is_some()).count()
+    }
+}
+
+/// The one place where a request gets its final answer: the sender is gone after the first.
+fn answer(state: &mut State, id: RequestId, answer: Answer) {
+    let Some(open) = state.open.get_mut(&id) else { return };
+    if let Some(reply) = open.reply.take() {
+        // The client may have left in this moment; its connection says so by itself.
+        let _ = reply.send(answer);
+    }
+    if open.is_over() {
+        state.open.remove(&id);
+    }
+}
--- /dev/null
+++ b/src/bin/asterport/main.rs
@@ -0,0 +1,179 @@
+//! asterport: a router on real sockets between the clients of a fleet of cache servers and its servers.
+//!
+//! The decisions are those of the library; this program translates them to connections.
+#![forbid(unsafe_code)]
+
+mod clients;
+mod discovery;
+mod driver;
+mod resp;
+mod servers;
+
+use clients::Clients;
+use discovery::{Discovery, List};
+use driver::{Driver, duration};
+use onyxpick::params::{self, Deployment};
+use onyxpick::{Discovery as Listing, Micros, Router};
+use serde::Deserialize;
+use serde_json::Value;
+use servers::Servers;
+use std::cell::Cell;
+use std::fmt::Display;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::rc::Rc;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::{Duration, timeout};
+
+/// Descriptors that are neither clients' nor cache servers': standard streams, the runtime's, the listener's,
+/// discovery's, and some to spare.
+const RESERVED: usize = 48;
+/// New connections go on coming for up to 0.4 s after SIGTERM.
+const STILL_ACCEPTING: Duration = Duration::from_millis(550);
+/// SIGKILL comes no sooner than the longest deadline and this much after SIGTERM.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// The program ends this long before.
+const EXIT_EARLY: Duration = Duration::from_millis(80);
+
+#[derive(Deserialize)]
+struct Config {
+    name: String,
+    listen: SocketAddr,
+    discovery: SocketAddr,
+    seed: String,
+    limits: ConfigLimits,
+    known: Option<List>,
+    settings: Value,
+}
+
+#[derive(Deserialize)]
+struct ConfigLimits {
+    sockets: usize,
+}
+
+fn main() -> ExitCode {
+    // A panic leaves the module in an unknown state: end at once, to be started again from nothing.
+    std::panic::set_hook(Box::new(|panic| {
+        eprintln!("asterport: {panic}");
+        std::process::exit(101);
+    }));
+    match read_config().and_then(run) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("asterport: {problem}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn plainly(what: &str, problem: impl Display) -> String {
+    format!("{what}: {problem}")
+}
+
+fn read_config() -> Result<Config, String> {
+    let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
+    let text = std::fs::read(&path).map_err(|e| plainly(&path, e))?;
+    let mut config: Config = serde_json::from_slice(&text).map_err(|e| plainly(&path, e))?;
+    for (name, addr) in [("GW_LISTEN", &mut config.listen), ("GW_DISCOVERY", &mut config.discovery)] {
+        if let Ok(text) = std::env::var(name) {
+            *addr = text.parse().map_err(|_| format!("{name}: '{text}' is not an address"))?;
+        }
+    }
+    if let Ok(name) = std::env::var("GW_NAME") {
+        config.name = name;
+    }
+    Ok(config)
+}
+
+/// The settings in the form of the bench's pairs, so that both have one reader: a list of plain values is joined
+/// with commas, a list of objects states its length under `.count` and its items under their numbers.
+fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
+    let below = |name: &str| if path.is_empty() { name.to_string() } else { format!("{path}.{name}") };
+    match value {
+        Value::Null => {}
+        Value::Object(members) => {
+            members.iter().for_each(|(name, value)| flatten(&below(name), value, pairs))
+        }
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.push((below("count"), items.len().to_string()));
+            items.iter().enumerate().for_each(|(i, item)| flatten(&below(&i.to_string()), item, pairs));
+        }
+        Value::Array(items) => {
+            let items: Vec<String> = items.iter().map(plain).collect();
+            pairs.push((path.to_string(), items.join(",")));
+        }
+        value => pairs.push((path.to_string(), plain(value))),
+    }
+}
+
+fn plain(value: &Value) -> String {
+    value.as_str().map_or_else(|| value.to_string(), str::to_string)
+}
+
+fn run(config: Config) -> Result<(), String> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| plainly("runtime", e))?;
+    LocalSet::new().block_on(&runtime, route(config))
+}
+
+async fn route(config: Config) -> Result<(), String> {
+    let mut pairs = Vec::new();
+    flatten("", &config.settings, &mut pairs);
+    let deployment = params::read(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
+    let Deployment { settings, names, dial_timeout } = deployment.map_err(|e| e.to_string())?;
+    let seed =
+        u64::from_str_radix(&config.seed, 16).map_err(|_| format!("seed: '{}' is not hex", config.seed))?;
+    let most = config.limits.sockets.saturating_sub(RESERVED) / 2;
+    if most == 0 {
+        return Err(format!("limits.sockets: {} is too few", config.limits.sockets));
+    }
+    let forever = Micros::from_millis(86_400_000);
+    let limits = servers::Limits {
+        dial_timeout: duration(dial_timeout.min(forever)),
+        conn_idle: duration(settings.connection_idle.min(forever)),
+        connections: most,
+    };
+    let deadlines: Vec<Micros> = settings.classes.iter().map(|class| class.deadline).collect();
+    let longest = duration(deadlines.iter().copied().max().unwrap_or_default());
+    let pushed = settings.discovery == Listing::Push;
+    let router = Router::new(settings, seed).map_err(|e| e.to_string())?;
+
+    let listener = clients::listen(config.listen).map_err(|e| plainly(&config.listen.to_string(), e))?;
+    let mut stop = signal(SignalKind::terminate()).map_err(|e| plainly("signals", e))?;
+    let names = Rc::new(names);
+    let servers = Servers::new(limits);
+    let driver = Driver::new(router, servers.clone());
+    let discovery = Discovery {
+        addr: config.discovery,
+        names: names.clone(),
+        pushed,
+        driver: driver.clone(),
+        servers: servers.clone(),
+        seq: Cell::new(0),
+    };
+    let known = config.known.unwrap_or_default();
+    eprintln!("asterport: {} on {}, {} servers known", config.name, config.listen, known.len());
+    // Before the first client is answered, so that no request finds an empty ring.
+    discovery.known(known);
+    spawn_local(discovery.run());
+    spawn_local(driver.clone().run_timers());
+    spawn_local(servers.retire_idle());
+    let clients = Clients::new(driver.clone(), names, deadlines, most);
+    tokio::select! {
+        () = clients.accept(&listener) => {}
+        _ = stop.recv() => {}
+    }
+
+    // Those that come now are served too: the front hears of the end only by and by.
+    let _ = timeout(STILL_ACCEPTING, clients.accept(&listener)).await;
+    drop(listener);
+    let left = (longest + KILL_MARGIN).saturating_sub(STILL_ACCEPTING + EXIT_EARLY);
+    let closed = timeout(left, clients.close()).await;
+    let owed = driver.owed();
+    eprintln!(
+        "asterport: stopped, {}",
+        if closed.is_ok() { "all answered".into() } else { format!("{owed} owed") }
+    );
+    Ok(())
+}
--- /dev/null
+++ b/src/bin/asterport/servers.rs
@@ -0,0 +1,244 @@
+//! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
+
+use crate::resp::{BytesFrame, Command, next_frame};
+use bytes::{Bytes, BytesMut};
+use onyxpick::{CacheNote, Outcome, ServerId, ServerState};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::{Duration, Instant, sleep_until, timeout_at};
+
+/// Idle connections are retired after this share of the time at which a cache server closes them: one written to
+/// just as it closes ends as a reset, which may have run.
+const RETIRE_SHARE: f64 = 0.8;
+
+/// What the settings and the descriptors allow.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub dial_timeout: Duration,
+    pub conn_idle: Duration,
+    /// Connections to all cache servers together.
+    pub connections: usize,
+}
+
+/// How an attempt ended, and the answer if it served the request.
+pub struct Ended {
+    pub outcome: Outcome,
+    pub note: Option<CacheNote>,
+    pub answer: Option<Bytes>,
+}
+
+impl From<Outcome> for Ended {
+    fn from(outcome: Outcome) -> Self {
+        Ended { outcome, note: None, answer: None }
+    }
+}
+
+/// The cache servers of the list, each with its idle connections.
+pub struct Servers {
+    pools: RefCell<HashMap<ServerId, Pool>>,
+    limits: Limits,
+    room: Arc<Semaphore>,
+    opened: Cell<u64>,
+}
+
+struct Pool {
+    addr: SocketAddr,
+    state: ServerState,
+    born_ms: u64,
+    /// The most recently used last.
+    idle: Vec<(Connection, Instant)>,
+}
+
+struct Connection {
+    stream: TcpStream,
+    received: BytesMut,
+    /// Where it leads: `dial` may change while it is out.
+    addr: SocketAddr,
+    _room: OwnedSemaphorePermit,
+}
+
+impl Connection {
+    /// Whether nothing came on it while it was idle, neither an end nor a byte that no request waits for.
+    fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl Servers {
+    pub fn new(limits: Limits) -> Rc<Servers> {
+        let room = Arc::new(Semaphore::new(limits.connections));
+        Rc::new(Servers { pools: RefCell::default(), limits, room, opened: Cell::new(0) })
+    }
+
+    /// Takes one entry of the list. A new address or a new process leaves the old connections behind.
+    pub fn list(&self, server: &ServerId, addr: SocketAddr, state: ServerState, born_ms: u64) {
+        let mut pools = self.pools.borrow_mut();
+        if state == ServerState::Gone {
+            pools.remove(server);
+            return;
+        }
+        let fresh = || Pool { addr, state, born_ms, idle: Vec::new() };
+        let pool = pools.entry(server.clone()).or_insert_with(fresh);
+        if pool.addr != addr || pool.born_ms != born_ms {
+            *pool = fresh();
+        }
+        pool.state = state;
+    }
+
+    /// Forgets the servers that a whole list leaves out.
+    pub fn keep_only(&self, listed: impl Fn(&ServerId) -> bool) {
+        self.pools.borrow_mut().retain(|server, _| listed(server));
+    }
+
+    pub fn close_idle(&self, server: &ServerId) {
+        if let Some(pool) = self.pools.borrow_mut().get_mut(server) {
+            pool.idle.clear();
+        }
+    }
+
+    /// Closes what has been idle for long, for as long as the program runs.
+    pub async fn retire_idle(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(500)).await;
+            for pool in self.pools.borrow_mut().values_mut() {
+                pool.idle.retain(|(connection, since)| self.is_fresh(*since) && connection.is_quiet());
+            }
+        }
+    }
+
+    fn is_fresh(&self, since: Instant) -> bool {
+        since.elapsed() < self.limits.conn_idle.mul_f64(RETIRE_SHARE)
+    }
+
+    /// One attempt, from its connection to its outcome. Never longer than until `until`.
+    pub async fn attempt(self: Rc<Self>, server: ServerId, command: Rc<Command>, until: Instant) -> Ended {
+        let mut connection = match self.idle_connection(&server) {
+            Some(connection) => connection,
+            None => match self.connect(&server, until).await {
+                Ok(connection) => connection,
+                Err(outcome) => return outcome.into(),
+            },
+        };
+        // Guards the drain grace: the list may have changed while the connection came up.
+        let wanted = |pool: &Pool| pool.state == ServerState::Ready && pool.addr == connection.addr;
+        if !self.pools.borrow().get(&server).is_some_and(wanted) {
+            return Outcome::Void.into();
+        }
+        let wait = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let bytes = command.encode(wait as u64);
+        let mut written = 0;
+        while written < bytes.len() {
+            // Broken or given up before the last byte: a cache server begins nothing that is not whole.
+            match timeout_at(until, connection.stream.write(&bytes[written..])).await {
+                Ok(Ok(count)) if count > 0 => written += count,
+                _ => return Outcome::Unreachable.into(),
+            }
+        }
+        loop {
+            match next_frame(&mut connection.received) {
+                Ok(Some((frame, raw))) => {
+                    if connection.received.is_empty() {
+                        self.put_back(&server, connection);
+                    }
+                    return read_answer(&frame, raw);
+                }
+                Ok(None) => {}
+                Err(_) => return Outcome::Broken.into(),
+            }
+            let Connection { stream, received, .. } = &mut connection;
+            match timeout_at(until, stream.read_buf(received)).await {
+                Ok(Ok(count)) if count > 0 => {}
+                Ok(_) => return Outcome::Broken.into(),
+                Err(_) => return Outcome::TimedOut.into(),
+            }
+        }
+    }
+
+    /// The idle connection used last, so that the others grow old and are retired.
+    fn idle_connection(&self, server: &ServerId) -> Option<Connection> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(server)?;
+        while let Some((connection, since)) = pool.idle.pop() {
+            if self.is_fresh(since) && connection.is_quiet() {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    fn put_back(&self, server: &ServerId, connection: Connection) {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools.get_mut(server).filter(|pool| pool.addr == connection.addr);
+        if let Some(pool) = pool {
+            pool.idle.push((connection, Instant::now()));
+        }
+    }
+
+    async fn connect(&self, server: &ServerId, until: Instant) -> Result<Connection, Outcome> {
+        let addr = self.pools.borrow().get(server).map(|pool| pool.addr).ok_or(Outcome::Void)?;
+        let limit = Instant::now() + self.limits.dial_timeout;
+        let dial = async {
+            let room = match self.room.clone().try_acquire_owned() {
+                Ok(room) => room,
+                Err(_) => {
+                    self.close_oldest();
+                    self.room.clone().acquire_owned().await.map_err(io::Error::other)?
+                }
+            };
+            let stream = TcpStream::connect(addr).await?;
+            stream.set_nodelay(true)?;
+            io::Result::Ok(Connection { stream, received: BytesMut::new(), addr, _room: room })
+        };
+        tokio::select! {
+            connection = dial => {
+                self.opened.set(self.opened.get() + 1);
+                connection.map_err(|_| Outcome::Unreachable)
+            }
+            () = sleep_until(limit.min(until)) => {
+                Err(if limit <= until { Outcome::Unreachable } else { Outcome::TimedOut })
+            }
+        }
+    }
+
+    /// Makes room for a connection to another server when the descriptors are used up.
+    fn close_oldest(&self) {
+        let mut pools = self.pools.borrow_mut();
+        let oldest = pools.values_mut().filter(|p| !p.idle.is_empty()).min_by_key(|p| p.idle[0].1);
+        if let Some(pool) = oldest {
+            pool.idle.remove(0);
+        }
+    }
+}
+
+/// The table of what comes back. Only a refusal says that nothing ran; a null is no value.
+fn read_answer(frame: &BytesFrame, raw: Bytes) -> Ended {
+    let items = match frame {
+        BytesFrame::Array(items) => items,
+        BytesFrame::Error(text) if text.split(' ').next() == Some("BUSY") => {
+            return Outcome::Overloaded.into();
+        }
+        _ => return Outcome::Failure.into(),
+    };
+    let note = match items.get(1) {
+        Some(BytesFrame::BulkString(word)) => match &word[..] {
+            b"hit" => Some(CacheNote::Hit),
+            b"miss" => Some(CacheNote::Miss),
+            b"pending" => Some(CacheNote::MissPending),
+            _ => None,
+        },
+        _ => None,
+    };
+    match items.first() {
+        Some(BytesFrame::BulkString(_)) => Ended { outcome: Outcome::Success, note, answer: Some(raw) },
+        _ => Ended { outcome: Outcome::Failure, note, answer: None },
+    }
+}
--- a/src/bin/onyxpick-benchlink/main.rs
+++ b/src/bin/onyxpick-benchlink/main.rs
@@ -2,9 +2,9 @@
 //! It decides nothing.
 #![forbid(unsafe_code)]
 
-mod params;
 mod wire;
 
+use onyxpick::params::{self, Deployment};
 use onyxpick::{Action, Router};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
@@ -90,7 +90,8 @@
                 "up" => {
                     let number = line.integer("router")?;
                     let seed = line.integer("rng_seed")?;
-                    let (settings, names) = params::read(line.rest())?;
+                    let pairs = wire::pairs(line.rest())?;
+                    let Deployment { settings, names, .. } = params::read(pairs).map_err(WireError::from)?;
                     let router = Router::new(settings, seed).map_err(|e| WireError::new(e.to_string()))?;
                     instances.insert(number, Instance { router, names });
                 }
--- a/src/bin/onyxpick-benchlink/wire.rs
+++ b/src/bin/onyxpick-benchlink/wire.rs
@@ -1,7 +1,7 @@
 //! The wire's events and actions.
 
 use crate::Action;
-use crate::params::Names;
+use onyxpick::params::{Names, ParamsError};
 use onyxpick::*;
 use std::fmt;
 use std::io::{self, Write};
@@ -22,6 +22,21 @@
     }
 }
 
+impl From<ParamsError> for WireError {
+    fn from(error: ParamsError) -> Self {
+        WireError(error.to_string())
+    }
+}
+
+/// The `path=value` pairs of an instance's first message.
+pub fn pairs(text: &str) -> Result<Vec<(&str, &str)>, WireError> {
+    let pairs = text
+        .split('\t')
+        .filter(|p| !p.is_empty())
+        .map(|pair| pair.split_once('=').ok_or_else(|| WireError(format!("setting '{pair}' has no value"))));
+    pairs.collect()
+}
+
 /// The events of an instance that is up.
 pub const EVENTS: [&str; 8] =
     ["membership", "arrival", "headers", "outcome", "lapsed", "due", "checked", "whisper"];
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -44,6 +44,7 @@
 
 mod api;
 mod balance;
+pub mod params;
 mod state;
 
 pub use api::*;
--- a/src/bin/onyxpick-benchlink/params.rs
+++ b/src/params.rs
@@ -1,57 +1,94 @@
-//! The settings of an instance, from the pairs of its first message. Keys that are not read here are passed over.
+//! The settings of a router, from pairs of a dotted path and a value: the adapter finds them in its first message,
+//! the router in its configuration. Keys that are not read here are passed over.
 //!
 //! What a deployment may leave out, and what then holds: `peers_total` 1, `over_share_worth` 1, `customers` none, a
 //! class's `credit` 1 and `late_value` 0, `invariants.drain_close` none,
 //! `weight_kind` off, `limits.max_attempts` 1, what `limits` allows: no, `limits.max_retry_after` 0,
-//! `specifics.mode` through, `discovery` automatic, `limits.conn_idle` without end. All else that is read here must be there.
+//! `specifics.mode` through, `discovery` automatic, `limits.conn_idle` and `limits.dial_timeout` without end. All else that is read here must be there.
 
-use crate::wire::WireError;
-use onyxpick::*;
+use crate::api::*;
 use std::collections::HashMap;
+use std::fmt;
 
-/// The names that the wire uses where the library takes numbers.
+/// A setting that is missing or cannot be read, in one plain sentence.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ParamsError(String);
+
+impl ParamsError {
+    fn new(text: String) -> Self {
+        ParamsError(text)
+    }
+}
+
+impl fmt::Display for ParamsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for ParamsError {}
+
+/// The names that a deployment uses where the library takes numbers.
+#[derive(Clone, Debug)]
 pub struct Names {
+    /// Of the classes, in the order of [`ClassId`].
     pub classes: Vec<String>,
+    /// Of the tenants, in the order of [`TenantId`].
     pub tenants: Vec<String>,
+    /// Of the zones, in the order of [`ZoneId`].
     pub zones: Vec<String>,
+    /// Of the kinds of machine, in the order of [`KindId`].
     pub kinds: Vec<String>,
 }
 
+/// What a deployment tells a router.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    /// The settings of the decision module.
+    pub settings: Settings,
+    /// The names behind its numbers.
+    pub names: Names,
+    /// A connection that is not up after this long never will be.
+    pub dial_timeout: Micros,
+}
+
 struct Params<'a>(HashMap<&'a str, &'a str>);
 
 impl<'a> Params<'a> {
-    fn text(&self, path: &str) -> Result<&'a str, WireError> {
-        self.0.get(path).copied().ok_or_else(|| WireError::new(format!("setting {path} is missing")))
+    fn text(&self, path: &str) -> Result<&'a str, ParamsError> {
+        self.0.get(path).copied().ok_or_else(|| ParamsError::new(format!("setting {path} is missing")))
     }
 
-    fn number(&self, path: &str) -> Result<f64, WireError> {
+    fn number(&self, path: &str) -> Result<f64, ParamsError> {
         let text = self.text(path)?;
         match text.parse() {
             Ok(value) if f64::is_finite(value) && value >= 0.0 => Ok(value),
-            _ => Err(WireError::new(format!("setting {path}: '{text}' is not a number of at least zero"))),
+            _ => Err(ParamsError::new(format!("setting {path}: '{text}' is not a number of at least zero"))),
         }
     }
 
     /// A number that a deployment may leave out.
-    fn number_or(&self, path: &str, default: f64) -> Result<f64, WireError> {
+    fn number_or(&self, path: &str, default: f64) -> Result<f64, ParamsError> {
         if self.0.contains_key(path) { self.number(path) } else { Ok(default) }
     }
 
-    fn flag_or(&self, path: &str, default: bool) -> Result<bool, WireError> {
+    fn flag_or(&self, path: &str, default: bool) -> Result<bool, ParamsError> {
         match self.0.get(path).copied() {
             None => Ok(default),
             Some("true" | "1") => Ok(true),
             Some("false" | "0") => Ok(false),
-            Some(text) => Err(WireError::new(format!("setting {path}: '{text}' is neither true nor false"))),
+            Some(text) => {
+                Err(ParamsError::new(format!("setting {path}: '{text}' is neither true nor false")))
+            }
         }
     }
 
-    fn time(&self, path: &str) -> Result<Micros, WireError> {
+    fn time(&self, path: &str) -> Result<Micros, ParamsError> {
         Ok(Micros::from_secs_f64(self.number(path)?))
     }
 
     /// A time that a deployment may leave out.
-    fn optional_time(&self, path: &str) -> Result<Option<Micros>, WireError> {
+    fn optional_time(&self, path: &str) -> Result<Option<Micros>, ParamsError> {
         if self.0.contains_key(path) { self.time(path).map(Some) } else { Ok(None) }
     }
 
@@ -62,14 +99,8 @@
 }
 
 /// Reads the pairs.
-pub fn read(text: &str) -> Result<(Settings, Names), WireError> {
-    let mut pairs = HashMap::new();
-    for pair in text.split('\t').filter(|p| !p.is_empty()) {
-        let (path, value) =
-            pair.split_once('=').ok_or_else(|| WireError::new(format!("setting '{pair}' has no value")))?;
-        pairs.insert(path, value);
-    }
-    let params = Params(pairs);
+pub fn read<'a>(pairs: impl IntoIterator<Item = (&'a str, &'a str)>) -> Result<Deployment, ParamsError> {
+    let params = Params(pairs.into_iter().collect());
     let zones = params.list("zones");
     let kinds = params.list("kinds");
     let (classes, class_names) = classes(&params)?;
@@ -107,10 +138,11 @@
         connection_idle: params.optional_time("limits.conn_idle")?.unwrap_or(Micros::MAX),
     };
     let names = Names { classes: class_names, tenants: tenant_names, zones, kinds };
-    Ok((settings, names))
+    let dial_timeout = params.optional_time("limits.dial_timeout")?.unwrap_or(Micros::MAX);
+    Ok(Deployment { settings, names, dial_timeout })
 }
 
-fn classes(params: &Params<'_>) -> Result<(Vec<Class>, Vec<String>), WireError> {
+fn classes(params: &Params<'_>) -> Result<(Vec<Class>, Vec<String>), ParamsError> {
     let count = params.number("request_classes.count")? as usize;
     let mut classes = (Vec::new(), Vec::new());
     for i in 0..count {
@@ -123,7 +155,7 @@
                     "zone" => Group::Zone,
                     "cell" => Group::Cell,
                     other => {
-                        return Err(WireError::new(format!(
+                        return Err(ParamsError::new(format!(
                             "setting {}: '{other}' is not known",
                             path("group")
                         )));
@@ -133,7 +165,7 @@
             },
             "at_most_once" => Effect::Unsafe,
             other => {
-                return Err(WireError::new(format!("setting {}: '{other}' is not known", path("effect"))));
+                return Err(ParamsError::new(format!("setting {}: '{other}' is not known", path("effect"))));
             }
         };
         classes.0.push(Class {
@@ -148,7 +180,7 @@
     Ok(classes)
 }
 
-fn tenants(params: &Params<'_>) -> Result<(Vec<Tenant>, Vec<String>), WireError> {
+fn tenants(params: &Params<'_>) -> Result<(Vec<Tenant>, Vec<String>), ParamsError> {
     let count = params.number_or("customers.count", 0.0)? as usize;
     let mut tenants = (Vec::new(), Vec::new());
     for i in 0..count {
@@ -162,21 +194,21 @@
     Ok(tenants)
 }
 
-fn mode(params: &Params<'_>) -> Result<CacheMode, WireError> {
+fn mode(params: &Params<'_>) -> Result<CacheMode, ParamsError> {
     match params.0.get("specifics.mode").copied() {
         None | Some("through") => Ok(CacheMode::Through),
         Some("aside") => {
             let origin = KindId(params.number("specifics.origin_kind")? as usize);
             Ok(CacheMode::Aside { origin })
         }
-        Some(other) => Err(WireError::new(format!("setting specifics.mode: '{other}' is not known"))),
+        Some(other) => Err(ParamsError::new(format!("setting specifics.mode: '{other}' is not known"))),
     }
 }
 
-fn discovery(params: &Params<'_>) -> Result<Discovery, WireError> {
+fn discovery(params: &Params<'_>) -> Result<Discovery, ParamsError> {
     match params.0.get("discovery").copied() {
         None | Some("automatic") => Ok(Discovery::Push),
         Some("subscribe") => Ok(Discovery::Subscribe { ask_within: params.time("invariants.ask_within")? }),
-        Some(other) => Err(WireError::new(format!("setting discovery: '{other}' is not known"))),
+        Some(other) => Err(ParamsError::new(format!("setting discovery: '{other}' is not known"))),
     }
 }
