Tests of the router over loopback sockets

The real binary against fake cache servers, discovery and clients on ephemeral ports: the outcome table row by row, keyed resend, drains, connects that never come up, pipelined order, clients that leave, SIGTERM, watch loss, stale idle connections, malformed input, descriptors. The start line now names the address that was really bound.

--- a/src/bin/asterport/main.rs
+++ b/src/bin/asterport/main.rs
@@ -153,7 +153,8 @@
         seq: Cell::new(0),
     };
     let known = config.known.unwrap_or_default();
-    eprintln!("asterport: {} on {}, {} servers known", config.name, config.listen, known.len());
+    let addr = listener.local_addr().map_err(|e| plainly("listener", e))?;
+    eprintln!("asterport: {} on {addr}, {} servers known", config.name, known.len());
     // Before the first client is answered, so that no request finds an empty ring.
     discovery.known(known);
     spawn_local(discovery.run());
--- /dev/null
+++ b/tests/common/sockets.rs
@@ -0,0 +1,462 @@
+//! The real router against fake peers on loopback sockets: cache servers, discovery and clients on ephemeral ports.
+
+use std::collections::HashMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// No condition that is waited for takes nearly as long on any machine.
+pub const LONG: Duration = Duration::from_secs(20);
+
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < LONG, "waited in vain: {what}");
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+/// Reads one RESP2 frame and gives back its bytes; `None` at the end of the stream.
+pub fn read_frame(from: &mut impl BufRead) -> Option<Vec<u8>> {
+    let mut frame = Vec::new();
+    let mut left = 1;
+    while left > 0 {
+        let start = frame.len();
+        if from.read_until(b'\n', &mut frame).ok()? == 0 || !frame.ends_with(b"\r\n") {
+            return None;
+        }
+        let line = String::from_utf8_lossy(&frame[start..frame.len() - 2]).into_owned();
+        left -= 1;
+        let count = || line[1..].parse::<i64>().expect("a count");
+        match line.as_bytes()[0] {
+            b'*' => left += count().max(0),
+            b'$' if count() >= 0 => {
+                let mut body = vec![0; count() as usize + 2];
+                from.read_exact(&mut body).ok()?;
+                frame.extend_from_slice(&body);
+            }
+            _ => {}
+        }
+    }
+    Some(frame)
+}
+
+/// The words of a command.
+fn words(frame: &[u8]) -> Vec<String> {
+    let text = String::from_utf8_lossy(frame).into_owned();
+    text.split("\r\n").skip(2).step_by(2).map(str::to_string).collect()
+}
+
+pub fn command(words: &[&str]) -> Vec<u8> {
+    let mut out = format!("*{}\r\n", words.len());
+    words.iter().for_each(|word| out.push_str(&format!("${}\r\n{word}\r\n", word.len())));
+    out.into_bytes()
+}
+
+/// What a cache server answers: the value, how it went, no load report.
+pub fn value(text: &str) -> Vec<u8> {
+    format!("*3\r\n${}\r\n{text}\r\n$3\r\nhit\r\n$-1\r\n", text.len()).into_bytes()
+}
+
+/// What a fake cache server does with a command.
+#[derive(Clone)]
+pub enum Does {
+    /// Answers with the name of the server as the value.
+    Serves,
+    /// Answers with these bytes.
+    Says(Vec<u8>),
+    /// Answers with these bytes and ends the connection.
+    SaysAndEnds(Vec<u8>),
+    /// Says nothing.
+    IsSilent,
+    /// Serves once [`Server::open_gate`] was called.
+    ServesLater,
+}
+
+#[derive(Default)]
+struct Seen {
+    /// The connection's number, and the words of each command.
+    commands: Vec<(usize, Vec<String>)>,
+    connections: usize,
+    ended: usize,
+    does: HashMap<String, Does>,
+    usually: Option<Does>,
+    gate: bool,
+    streams: Vec<TcpStream>,
+}
+
+/// A fake cache server.
+#[derive(Clone)]
+pub struct Server {
+    pub name: String,
+    pub addr: SocketAddr,
+    seen: Arc<(Mutex<Seen>, Condvar)>,
+}
+
+impl Server {
+    pub fn start(name: &str) -> Server {
+        Server::on(name, TcpListener::bind("127.0.0.1:0").expect("a port"))
+    }
+
+    pub fn on(name: &str, listener: TcpListener) -> Server {
+        let addr = listener.local_addr().expect("an address");
+        let server = Server { name: name.to_string(), addr, seen: Arc::default() };
+        let accepting = server.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let server = accepting.clone();
+                thread::spawn(move || server.serve(stream));
+            }
+        });
+        server
+    }
+
+    fn serve(&self, stream: TcpStream) {
+        let number = {
+            let mut seen = self.seen.0.lock().unwrap();
+            seen.connections += 1;
+            seen.streams.push(stream.try_clone().expect("a handle"));
+            seen.connections
+        };
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        let mut writer = stream;
+        while let Some(frame) = read_frame(&mut reader) {
+            let words = words(&frame);
+            let does = {
+                let mut seen = self.seen.0.lock().unwrap();
+                let does = seen.does.get(&words[1]).cloned().or_else(|| seen.usually.clone());
+                seen.commands.push((number, words));
+                does.unwrap_or(Does::Serves)
+            };
+            let (bytes, ends) = match does {
+                Does::Serves => (value(&self.name), false),
+                Does::Says(bytes) => (bytes, false),
+                Does::SaysAndEnds(bytes) => (bytes, true),
+                Does::IsSilent => continue,
+                Does::ServesLater => {
+                    let seen = self.seen.0.lock().unwrap();
+                    drop(self.seen.1.wait_while(seen, |seen| !seen.gate).unwrap());
+                    (value(&self.name), false)
+                }
+            };
+            if writer.write_all(&bytes).is_err() || ends {
+                break;
+            }
+        }
+        let _ = writer.shutdown(Shutdown::Both);
+        self.seen.0.lock().unwrap().ended += 1;
+    }
+
+    /// What it does with all commands.
+    pub fn usually(&self, does: Does) {
+        self.seen.0.lock().unwrap().usually = Some(does);
+    }
+
+    /// What it does with commands for one key.
+    pub fn does(&self, key: &str, does: Does) {
+        self.seen.0.lock().unwrap().does.insert(key.to_string(), does);
+    }
+
+    pub fn open_gate(&self) {
+        self.seen.0.lock().unwrap().gate = true;
+        self.seen.1.notify_all();
+    }
+
+    /// Ends all its connections.
+    pub fn end_connections(&self) {
+        for stream in self.seen.0.lock().unwrap().streams.drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+
+    pub fn commands(&self) -> Vec<Vec<String>> {
+        self.seen.0.lock().unwrap().commands.iter().map(|(_, words)| words.clone()).collect()
+    }
+
+    /// Connections that came, and those that have ended.
+    pub fn connections(&self) -> (usize, usize) {
+        let seen = self.seen.0.lock().unwrap();
+        (seen.connections, seen.ended)
+    }
+
+    pub fn entry(&self, health: &str) -> String {
+        entry(&self.name, self.addr, health)
+    }
+}
+
+pub fn entry(name: &str, addr: SocketAddr, health: &str) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{addr}","site":"a","class":"m","block":1,"health":"{health}","share":1.0,"born_ms":0}}"#
+    )
+}
+
+pub fn list(seq: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
+}
+
+#[derive(Default)]
+struct Watch {
+    calls: Vec<String>,
+    /// What a watch begins with.
+    first: String,
+    fails: bool,
+    silent: bool,
+    stream: Option<TcpStream>,
+}
+
+/// A fake discovery.
+#[derive(Clone)]
+pub struct Discovery {
+    pub addr: SocketAddr,
+    watch: Arc<Mutex<Watch>>,
+}
+
+fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+impl Discovery {
+    pub fn start(first: String) -> Discovery {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let addr = listener.local_addr().expect("an address");
+        let discovery = Discovery { addr, watch: Arc::default() };
+        discovery.watch.lock().unwrap().first = first;
+        let (accepting, beating) = (discovery.clone(), discovery.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                accepting.answer(stream);
+            }
+        });
+        thread::spawn(move || {
+            loop {
+                thread::sleep(Duration::from_millis(500));
+                let watch = beating.watch.lock().unwrap();
+                if let Some(mut stream) = watch.stream.as_ref().filter(|_| !watch.silent) {
+                    let _ = stream.write_all(chunk("\n").as_bytes());
+                }
+            }
+        });
+        discovery
+    }
+
+    fn answer(&self, stream: TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        let mut call = String::new();
+        let _ = reader.read_line(&mut call);
+        let mut line = String::from("-");
+        while !line.trim().is_empty() {
+            line.clear();
+            if reader.read_line(&mut line).unwrap_or(0) == 0 {
+                break;
+            }
+        }
+        let mut watch = self.watch.lock().unwrap();
+        watch.calls.push(call);
+        let mut stream = stream;
+        if watch.fails {
+            let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+            return;
+        }
+        let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        let _ = stream.write_all(format!("{head}{}", chunk(&format!("{}\n", watch.first))).as_bytes());
+        watch.stream = Some(stream);
+    }
+
+    pub fn calls(&self) -> Vec<String> {
+        self.watch.lock().unwrap().calls.clone()
+    }
+
+    pub fn begins_with(&self, first: String) {
+        self.watch.lock().unwrap().first = first;
+    }
+
+    pub fn fails(&self, fails: bool) {
+        self.watch.lock().unwrap().fails = fails;
+    }
+
+    pub fn is_silent(&self, silent: bool) {
+        self.watch.lock().unwrap().silent = silent;
+    }
+
+    /// Writes to the watch as it stands, as one chunk.
+    pub fn writes(&self, text: &str) {
+        let watch = self.watch.lock().unwrap();
+        watch.stream.as_ref().expect("a watch").write_all(chunk(text).as_bytes()).expect("written");
+    }
+
+    /// Ends the watch.
+    pub fn ends(&self) {
+        if let Some(stream) = self.watch.lock().unwrap().stream.take() {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// The configuration of a router that knows these servers.
+pub fn config(discovery: SocketAddr, known: &[String]) -> serde_json::Value {
+    let known: serde_json::Value = serde_json::from_str(&list(7, true, known)).expect("a list");
+    let class = |name: &str, effect: &str| {
+        serde_json::json!({"name": name, "effect": effect, "group": "all", "memory_span": 2.0, "target": 0.5,
+            "give_up": 4.0, "credit": 1.0, "late_value": 0.5})
+    };
+    serde_json::json!({
+        "name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "known": known,
+        "settings": {
+            "peers_total": 1, "zones": ["a"], "zone": "a", "kinds": ["m"],
+            "request_classes": [class("read", "idempotent"), class("put", "deduplicated"), class("once", "at_most_once")],
+            "customers": [{"name": "acme", "quota_per_s": 100.0, "share": 1.0}],
+            "discovery": "subscribe",
+            "invariants": {"ask_within": 1.0, "grace_to_answer": 0.02, "drain_grace": 0.25, "cold_from": 0.3,
+                "cold": 8.0, "overload_factor": 3.0, "fall": 1.0},
+            "limits": {"max_attempts": 3, "may_duplicate": true, "conn_idle": 15.0, "dial_timeout": 0.5,
+                "retry_after": true, "max_retry_after": 1.0},
+            "specifics": {"mode": "through"}
+        }
+    })
+}
+
+/// The router's real binary; killed with the test, by its id.
+pub struct Router {
+    child: Child,
+    pub addr: SocketAddr,
+    pub log: Arc<Mutex<Vec<String>>>,
+    pub folder: std::path::PathBuf,
+}
+
+/// Starts the binary with a configuration, in a shell that first runs `before`.
+fn spawn(config: &str, before: &str) -> (Child, std::path::PathBuf) {
+    static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
+    let number = COUNT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let folder = std::env::temp_dir().join(format!("asterport-test-{}-{number}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let file = folder.join("config.json");
+    std::fs::write(&file, config).expect("written");
+    let child = Command::new("/bin/sh")
+        .arg("-c")
+        .arg(format!("{before} exec \"$0\""))
+        .arg(env!("CARGO_BIN_EXE_asterport"))
+        .env("GW_CONFIG", &file)
+        .env_remove("GW_LISTEN")
+        .env_remove("GW_DISCOVERY")
+        .env_remove("GW_NAME")
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the router starts");
+    (child, folder)
+}
+
+/// Runs the binary to its end: its status and what it logged.
+pub fn run_to_end(config: &str) -> (ExitStatus, String) {
+    let (child, folder) = spawn(config, "");
+    let output = child.wait_with_output().expect("the router ends");
+    let _ = std::fs::remove_dir_all(folder);
+    (output.status, String::from_utf8_lossy(&output.stderr).into_owned())
+}
+
+impl Router {
+    pub fn start(config: &serde_json::Value) -> Router {
+        Router::start_after(config, "")
+    }
+
+    pub fn start_after(config: &serde_json::Value, before: &str) -> Router {
+        let (mut child, folder) = spawn(&config.to_string(), before);
+        let log = Arc::new(Mutex::new(Vec::new()));
+        let (lines, to) = (BufReader::new(child.stderr.take().expect("its log")), log.clone());
+        thread::spawn(move || {
+            lines.lines().map_while(Result::ok).for_each(|line| to.lock().unwrap().push(line))
+        });
+        let mut addr = None;
+        wait_until("the router listens", || {
+            let log = log.lock().unwrap();
+            let place =
+                log.first().and_then(|line| line.split(" on ").nth(1)?.split(',').next()?.parse().ok());
+            addr = place;
+            addr.is_some()
+        });
+        Router { child, addr: addr.expect("its address"), log, folder }
+    }
+
+    pub fn client(&self) -> Client {
+        Client::connect(self.addr)
+    }
+
+    pub fn log_has(&self, text: &str) -> bool {
+        self.log.lock().unwrap().iter().any(|line| line.contains(text))
+    }
+
+    pub fn terminate(&self) {
+        let kill = Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+        assert!(kill.expect("kill runs").success());
+    }
+
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("its status").is_none()
+    }
+
+    pub fn wait(&mut self) -> ExitStatus {
+        wait_until("the router ends", || !self.is_running());
+        self.child.wait().expect("its status")
+    }
+}
+
+impl Drop for Router {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+/// A client's connection.
+pub struct Client {
+    stream: TcpStream,
+    reader: BufReader<TcpStream>,
+    count: u32,
+}
+
+impl Client {
+    pub fn connect(addr: SocketAddr) -> Client {
+        let stream = TcpStream::connect(addr).expect("connected");
+        stream.set_read_timeout(Some(LONG)).expect("a limit");
+        let reader = BufReader::new(stream.try_clone().expect("a handle"));
+        Client { stream, reader, count: 0 }
+    }
+
+    pub fn write(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).expect("written");
+    }
+
+    /// Sends a request of a class for a key, as a write unless the class is `read`.
+    pub fn send(&mut self, class: &str, key: &str, wait_ms: u64) {
+        self.count += 1;
+        let id = format!("id-{key}-{}", self.count);
+        let fields = format!("c={class},t=acme,d={wait_ms},k=5c0f");
+        let bytes = match class {
+            "read" => command(&["C.GET", key, &id, &fields]),
+            _ => command(&["C.SET", key, &id, &fields, "v"]),
+        };
+        self.write(&bytes);
+    }
+
+    /// The next answer; `None` if the connection has ended.
+    pub fn answer(&mut self) -> Option<String> {
+        read_frame(&mut self.reader).map(|frame| String::from_utf8_lossy(&frame).into_owned())
+    }
+
+    pub fn ask(&mut self, class: &str, key: &str) -> String {
+        self.send(class, key, 4_000);
+        self.answer().expect("an answer")
+    }
+
+    /// All that comes until the end of the connection.
+    pub fn rest(&mut self) -> Vec<u8> {
+        let mut rest = Vec::new();
+        let _ = self.reader.read_to_end(&mut rest);
+        rest
+    }
+}
