Refusals say when to come back

Seen: the module declines a request at once, but without advice (balance.rs, answer(): retry_after: None), although settings.limits.retry_after says that clients listen; the router already wrote -BUSY MS where it was given. Change: one to two usual times, the time in which what is at work has mostly been served, with a spread so that clients declined together do not return together; never above max_retry_after, none where clients do not listen. It is what an operator is owed.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -514,8 +514,15 @@
         held.answered = true;
         let safe = matches!(self.class(held).effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let harmless = safe || held.first_run().is_none();
-        let id = held.ask.id;
-        self.out.push(if harmless { Action::Refuse { id, retry_after: None } } else { Action::Fail { id } });
+        let (id, retry_after) = (held.ask.id, self.advice());
+        self.out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
+    }
+
+    /// When to come back: what is at work now has mostly been served after one to two usual times, and clients
+    /// that were declined together do not return together. Guards against retries at once, which meet the same jam.
+    fn advice(&mut self) -> Option<Micros> {
+        let (limits, spread) = (&self.settings.limits, self.random.next());
+        limits.retry_after.then(|| self.usual.scaled(1.0 + spread).min(limits.max_retry_after))
     }
 
     fn on_end(&mut self, end: AttemptEnd) {
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -86,7 +86,12 @@
     let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let discovery = Discovery::start(list(7, false, &[]));
     let router = Router::start(&config(discovery.addr, &[entry(&server.name, closed, "up")]));
-    assert!(router.client().ask("once", "7f3a9c21e0b4d655").starts_with("-BUSY"));
+    let start = Instant::now();
+    let answer = router.client().ask("once", "7f3a9c21e0b4d655");
+    // At once, and with advice in milliseconds on when to come back.
+    let advice = answer.strip_prefix("-BUSY ").unwrap_or_else(|| panic!("{answer}"));
+    assert!((1..=1_000).contains(&advice.trim_end().parse::<u64>().unwrap()), "{answer}");
+    assert!(start.elapsed().as_millis() < 3_000, "{:?}", start.elapsed());
     assert!(server.commands().is_empty());
 }
 
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -229,3 +229,24 @@
     rig.event(Event::Gone { id });
     assert!(closes(&rig.end(id, 0, Outcome::TimedOut, 20), &server), "a last outcome after the client left");
 }
+
+/// Guards against clients that come back at once, to the same jam: a refusal says when to come back, where clients
+/// listen, and never longer than they do.
+#[test]
+fn a_refusal_is_given_at_once_with_advice_on_when_to_come_back() {
+    let advice = |retry_after: bool, longest: u64| {
+        let limits =
+            Limits { max_attempts: 1, retry_after, max_retry_after: ms(longest), ..settings().limits };
+        let mut rig = Rig::new(Settings { limits, ..settings() }, ready(1));
+        let (id, _) = rig.ask(0, 5);
+        let given = rig.end(id, 0, Outcome::Overloaded, 20).into_iter().find_map(|action| match action {
+            Action::Refuse { retry_after, .. } => Some(retry_after),
+            _ => None,
+        });
+        given.expect("an answer at the outcome, not at the deadline")
+    };
+    let usual = advice(true, 1_000).expect("advice");
+    assert!(usual > Micros(0) && usual < ms(1_000), "{usual:?}");
+    assert_eq!(advice(true, 7), Some(ms(7)));
+    assert_eq!(advice(false, 1_000), None);
+}
