--- a/src/balance.rs
+++ b/src/balance.rs
@@ -518,8 +518,8 @@
         self.out.push(if harmless { Action::Refuse { id, retry_after } } else { Action::Fail { id } });
     }
 
-    /// When to come back: what is at work now has mostly been served after one to two usual times, and clients
-    /// that were declined together do not return together. Guards against retries at once, which meet the same jam.
+    /// When to come back: what is at work now has mostly been served after one to two usual times; clients
+    /// declined together do not return together. Guards against retries at once, into the same jam.
     fn advice(&mut self) -> Option<Micros> {
         let (limits, spread) = (&self.settings.limits, self.random.next());
         limits.retry_after.then(|| self.usual.scaled(1.0 + spread).min(limits.max_retry_after))
