A late failure without a note is laid to the origin

A probe that counted what cache servers answer: 4,621 of 4,980 answers at one router are a plain '-ERR failed', with no word on how the read went. The notes are what the module goes by: balance.rs, try_again() (in_vain) and learn_load() (failed fetches cut the limit) do nothing for a failure without one, so every failed fetch was sent on to a further server and none of them slowed the next fetch: the origin's jam fed itself. Change: a likely fetch that fails without a note later than usual hits counts as a miss that failed. Tests: one of the module and one over sockets.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -532,6 +532,7 @@
         if let Some(tried) = tried {
             tried.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRan };
             let (index, fetch, idle) = (tried.server, tried.fetch, tried.idle);
+            let end = self.with_note(end, fetch);
             self.servers[index].last_used = self.now;
             self.learn_connection(idle, end.outcome);
             // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
@@ -566,6 +567,14 @@
         self.keep(held);
     }
 
+    /// Guards a failing origin where errors do not tell how the read went: what a server fails by itself, it
+    /// fails sooner than it serves hits. A likely fetch that failed later than that failed at the origin.
+    fn with_note(&self, end: AttemptEnd, fetch: bool) -> AttemptEnd {
+        let untold = end.outcome == Outcome::Failure && end.note.is_none();
+        let note = if untold && fetch && end.elapsed > self.usual { Some(CacheNote::Miss) } else { end.note };
+        AttemptEnd { note, ..end }
+    }
+
     /// Guards the rule of closing on drains: what is idle is closed at the notice, the rest as attempts end.
     fn close_drained(&mut self, index: usize) {
         let server = &self.servers[index];
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -68,6 +68,8 @@
     Serves,
     /// Answers with these bytes.
     Says(Vec<u8>),
+    /// Answers with these bytes after this many milliseconds.
+    SaysAfter(u64, Vec<u8>),
     /// Answers with these bytes and ends the connection.
     SaysAndEnds(Vec<u8>),
     /// Says nothing.
@@ -134,6 +136,10 @@
             let (bytes, ends) = match does {
                 Does::Serves => (value(&self.name), false),
                 Does::Says(bytes) => (bytes, false),
+                Does::SaysAfter(millis, bytes) => {
+                    thread::sleep(Duration::from_millis(millis));
+                    (bytes, false)
+                }
                 Does::SaysAndEnds(bytes) => (bytes, true),
                 Does::IsSilent => continue,
                 Does::ServesLater => {
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -553,3 +553,24 @@
     assert!((2..=4).contains(&homes.len()), "{homes:?}");
     assert!((0..40).all(|seed| second(seed, 2).is_some()), "the only one left");
 }
+
+/// Guards a failing origin where errors carry no note, as on sockets: a likely fetch that fails later than hits are
+/// served is not tried elsewhere, and enough of them hold further fetches back. A quick error is the server's own.
+#[test]
+fn a_late_failure_without_a_note_is_laid_to_the_origin() {
+    let mut rig = Rig::new(settings(), ready(3));
+    let (id, _) = rig.ask(0, 5);
+    assert!(sent(&rig.end(id, 0, Outcome::Failure, 20)).is_some(), "quick: the next server may do");
+    let mut rig = Rig::new(settings(), ready(3));
+    let (id, _) = rig.ask(0, 5);
+    let actions = rig.end(id, 0, Outcome::Failure, 400);
+    assert!(sent(&actions).is_none() && refused(&actions), "late: a further fetch feeds the origin's jam");
+    for key in 100..140 {
+        let (id, actions) = rig.ask(0, key);
+        if sent(&actions).is_some() {
+            rig.end(id, 0, Outcome::Failure, 400);
+        }
+    }
+    let (_, actions) = rig.ask(0, 999);
+    assert!(refused(&actions), "no fetch is started while the last ones failed");
+}
--- a/tests/router.rs
+++ b/tests/router.rs
@@ -170,6 +170,24 @@
     assert_eq!(first[4], second[4]);
 }
 
+/// Guards a failing origin: on sockets an error does not tell that a fetch failed, only its time does.
+#[test]
+fn a_failed_fetch_is_not_repeated_elsewhere_and_a_quick_error_is() {
+    let (a, b) = (Server::start("s-a"), Server::start("s-b"));
+    let error = b"-ERR failed\r\n".to_vec();
+    for server in [&a, &b] {
+        server.does("00000000000000aa", Does::Says(error.clone()));
+        server.does("00000000000000bb", Does::SaysAfter(600, error.clone()));
+    }
+    let (router, _discovery) = router_of(&[&a, &b]);
+    let mut client = router.client();
+    let sent = |key: &str| a.commands().iter().chain(&b.commands()).filter(|words| words[1] == key).count();
+    assert!(client.ask("read", "00000000000000aa").starts_with("-BUSY "));
+    assert_eq!(sent("00000000000000aa"), 2);
+    assert!(client.ask("read", "00000000000000bb").starts_with("-BUSY "));
+    assert_eq!(sent("00000000000000bb"), 1);
+}
+
 #[test]
 fn answers_keep_the_order_of_pipelined_commands() {
     let server = Server::start("s-a");
