Reads of 4 KiB; every guard's test seen to fail without it

Seen: with one guard at a time taken out, six of eight tests failed as they must (drain during a connect, end while idle, retiring, failed fetch, null value, restart at the same address). Two still passed: the client that leaves (a second guard in the driver's send() covers it; with both out it fails) and the stray answer behind another. Checked: the stray answer was not read with the first, since a new buffer has room for 64 bytes; the look at the socket before use caught it instead (servers.rs, attempt(): read_buf on an empty buffer). The test could not reach the guard that it names. Change: room for 4 KiB before each read, which also spares reads for values of more than 64 bytes. Both tests now fail without their guards.

--- a/src/bin/asterport/clients.rs
+++ b/src/bin/asterport/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, commands in, and answers out in the order of the commands.
 
 use crate::driver::{Answer, Ask, Driver};
-use crate::resp::{BytesFrame, Command, RespError, next_frame};
+use crate::resp::{BytesFrame, Command, READ_SIZE, RespError, next_frame};
 use bytes::{Bytes, BytesMut};
 use md5::{Digest, Md5};
 use onyxpick::params::Names;
@@ -187,6 +187,7 @@
                 }
             }
             client.partial.set(!buffer.is_empty());
+            buffer.reserve(READ_SIZE);
             let may_close = client.closing.get() && client.owed.get() == 0 && buffer.is_empty();
             tokio::select! {
                 biased;
--- a/src/bin/asterport/resp.rs
+++ b/src/bin/asterport/resp.rs
@@ -8,6 +8,8 @@
 
 /// The largest value that the protocol allows.
 pub const MAX_VALUE: usize = 64 * 1024;
+/// Room for one read: the usual answer comes in one, and so does what a peer wrote behind it.
+pub const READ_SIZE: usize = 4 * 1024;
 /// The largest frame that is read at all: an oversized command is read whole and answered, within this bound.
 const MAX_FRAME: usize = 256 * 1024;
 /// The most items of an array; the longest command has five.
--- a/src/bin/asterport/servers.rs
+++ b/src/bin/asterport/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
 
-use crate::resp::{BytesFrame, Command, next_frame};
+use crate::resp::{BytesFrame, Command, READ_SIZE, next_frame};
 use bytes::{Bytes, BytesMut};
 use onyxpick::{CacheNote, Outcome, ServerId, ServerState};
 use std::cell::{Cell, RefCell};
@@ -155,6 +155,7 @@
                 Err(_) => return Outcome::Broken.into(),
             }
             let Connection { stream, received, .. } = &mut connection;
+            received.reserve(READ_SIZE);
             match timeout_at(until, stream.read_buf(received)).await {
                 Ok(Ok(count)) if count > 0 => {}
                 Ok(_) => return Outcome::Broken.into(),
