SIGHUP: the file is read again and discovery taken from it, at once

Exit 129 is the shell's word for death by SIGHUP. Checked: main.rs registers SIGTERM only, and that after the configuration is read; with a handler alone the list would still come from the old address (read_config() lets GW_DISCOVERY win), and then only after the module's back-off (run() of discovery.rs called only upon Subscribe), which 1,000 s of ask_within make visible in the test. Ruled out: a crash (no panic line, no 101). To blame: main.rs route() (no handler), read_config() (environment over file at any time), discovery.rs run()/watch() (one address for life; 4.5 s for each time-out, more than the 4 s after which the list counts as told). Change: the handlers are installed before the file is read. A new configuration is read whole and checked like the first; a bad one is logged and the old kept. Discovery drops its watch, calls the new address from version 0 with no back-off, repeats a failed call within 3.5 s, and has limits of 1.2 s to connect and 2.5 s to the first line. A Subscribe that comes meanwhile is answered by the same first line; a loss is told only to a module that asked or follows. Tests: router_signals.rs, three new ones (asked and pushed lists, GW_DISCOVERY set, back and forth; a grown back-off and a new discovery that fails twice; four bad files).

--- a/src/bin/asterport/discovery.rs
+++ b/src/bin/asterport/discovery.rs
@@ -15,11 +15,20 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::time::{Duration, timeout};
+use tokio::sync::Notify;
+use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// An empty line comes every 2 s at the least; a watch that misses two is dead. Guards against a discovery that
 /// vanished without a word, and leaves time to ask again before the router counts as told.
 const SILENCE: Duration = Duration::from_millis(4_500);
+/// A call that is not connected or not answered by then has failed; discovery itself gives one up after 2 s. Both
+/// together fit the 4 s after which a router with a new configuration counts as told.
+const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
+const ANSWER_LIMIT: Duration = Duration::from_millis(2_500);
+/// After a new configuration, calls that fail are repeated for this long, the first after the pause and each later
+/// one after twice the pause before: the module's own back-off may have grown long with the old address.
+const RELOAD_WINDOW: Duration = Duration::from_millis(3_500);
+const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 /// A longer line is no list of any fleet.
 const MAX_LINE: usize = 4 * 1024 * 1024;
 /// Where lists are pushed: how soon the agent is asked again.
@@ -101,78 +110,179 @@
 }
 
 pub struct Discovery {
-    pub addr: SocketAddr,
-    pub names: Rc<Names>,
+    addr: Cell<SocketAddr>,
+    names: Rc<Names>,
     /// Lists come unasked: the module does not subscribe.
-    pub pushed: bool,
-    pub driver: Rc<Driver>,
-    pub servers: Rc<Servers>,
-    /// The version of the list that the router has.
-    pub seq: Cell<u64>,
+    pushed: bool,
+    driver: Rc<Driver>,
+    servers: Rc<Servers>,
+    /// The version of the list that the router has, as counted by the discovery at `addr`.
+    seq: Cell<u64>,
+    /// The module waits for the answer to its call or counts as subscribed: it is owed the news of a loss.
+    follows: Cell<bool>,
+    moved: Notify,
+}
+
+/// What is left of the time in which calls after a new configuration are urgent.
+struct Urgent {
+    until: Instant,
+    pause: Duration,
+}
+
+impl Urgent {
+    fn from_now() -> Option<Urgent> {
+        Some(Urgent { until: Instant::now() + RELOAD_WINDOW, pause: RELOAD_PAUSE })
+    }
+
+    /// When to call again after a failed call, if that is still urgent.
+    fn next(&mut self) -> Option<Instant> {
+        let at = Instant::now() + self.pause;
+        self.pause *= 2;
+        (at < self.until).then_some(at)
+    }
 }
 
 impl Discovery {
+    pub fn new(
+        addr: SocketAddr,
+        names: Rc<Names>,
+        pushed: bool,
+        driver: Rc<Driver>,
+        servers: Rc<Servers>,
+    ) -> Rc<Discovery> {
+        Rc::new(Discovery {
+            addr: Cell::new(addr),
+            names,
+            pushed,
+            driver,
+            servers,
+            seq: Cell::new(0),
+            follows: Cell::new(false),
+            moved: Notify::new(),
+        })
+    }
+
     /// Feeds the list that the router had before its start.
     pub fn known(&self, list: List) {
         self.take(list, Some(MembershipKind::Cached));
     }
 
-    /// Watches whenever the module subscribes, for as long as the program runs.
-    pub async fn run(self) {
+    /// Leaves the watch for a new one at this address, at once. What the old one counted means nothing there.
+    pub fn move_to(&self, addr: SocketAddr) {
+        self.addr.set(addr);
+        self.seq.set(0);
+        self.moved.notify_one();
+    }
+
+    /// Watches whenever the module subscribes or the address has moved, for as long as the program runs.
+    pub async fn run(self: Rc<Self>) {
         let mut lost_before = false;
+        let mut urgent: Option<Urgent> = None;
+        // When to call without being asked by the module.
+        let mut next: Option<Instant> = None;
         loop {
-            if self.pushed {
-                tokio::time::sleep(REDIAL).await;
-            } else {
-                self.driver.subscribe.notified().await;
+            let due = async {
+                match next {
+                    Some(at) => sleep_until(at).await,
+                    None if self.pushed => sleep(REDIAL).await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                biased;
+                () = self.moved.notified() => urgent = Urgent::from_now(),
+                () = self.driver.subscribe.notified() => {
+                    self.follows.set(true);
+                    if next.is_some() {
+                        continue;
+                    }
+                }
+                () = due => {}
             }
-            let mut told = false;
-            let Err(error) = self.watch(&mut told).await;
-            // One line for each outage, not for each call during one.
-            if told || !lost_before {
-                eprintln!("asterport: discovery: watch {error}");
+            let told = Cell::new(false);
+            next = match self.watch_until_moved(&told).await {
+                None => {
+                    urgent = Urgent::from_now();
+                    Some(Instant::now())
+                }
+                Some(error) => {
+                    // One line for each outage, not for each call during one.
+                    if told.get() || !lost_before {
+                        eprintln!("asterport: discovery: watch {error}");
+                    }
+                    lost_before = true;
+                    urgent.as_mut().filter(|_| !told.get()).and_then(Urgent::next)
+                }
+            };
+            if next.is_none() {
+                urgent = None;
+                if self.follows.replace(false) {
+                    self.driver.membership(MembershipKind::Lost, Vec::new());
+                }
             }
-            lost_before = true;
-            if !self.pushed {
-                self.driver.membership(MembershipKind::Lost, Vec::new());
+        }
+    }
+
+    /// One watch until it is lost, or until the address has moved: then none.
+    async fn watch_until_moved(&self, told: &Cell<bool>) -> Option<WatchError> {
+        let watch = self.watch(told);
+        tokio::pin!(watch);
+        loop {
+            tokio::select! {
+                biased;
+                () = self.moved.notified() => return None,
+                // The module asks while a call that it did not ask for is out: its first line answers both.
+                () = self.driver.subscribe.notified() => self.follows.set(true),
+                Err(error) = &mut watch => return Some(error),
             }
         }
     }
 
     /// One watch, from its call to its end. Its first line answers the subscription.
-    async fn watch(&self, told: &mut bool) -> Result<std::convert::Infallible, WatchError> {
-        let limit = if self.pushed { Duration::from_secs(3_600) } else { SILENCE };
+    async fn watch(&self, told: &Cell<bool>) -> Result<std::convert::Infallible, WatchError> {
         let late = |_| WatchError::Silent;
+        let addr = self.addr.get();
         let stream =
-            timeout(limit, TcpStream::connect(self.addr)).await.map_err(late)?.map_err(WatchError::Io)?;
+            timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await.map_err(late)?.map_err(WatchError::Io)?;
+        let answered_by = Instant::now() + ANSWER_LIMIT;
         let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         let connection = tokio::task::spawn_local(connection);
         // The connection ends with this watch, however it ends.
         let _guard = AbortOnDrop(connection.abort_handle());
         let request = Request::get(format!("/api/targets?watch=1&after={}", self.seq.get()))
-            .header(header::HOST, self.addr.to_string())
+            .header(header::HOST, addr.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|error| WatchError::Line(error.to_string()))?;
-        let answer = timeout(limit, sender.send_request(request)).await.map_err(late)??;
+        let answer = timeout_at(answered_by, sender.send_request(request)).await.map_err(late)??;
         if answer.status() != StatusCode::OK {
             return Err(WatchError::Status(answer.status()));
         }
         let mut body = answer.into_body();
         let mut buffer = BytesMut::new();
         loop {
-            let frame = timeout(limit, body.frame()).await.map_err(late)?.ok_or(WatchError::Ended)??;
+            let limit = match (self.pushed, told.get()) {
+                // An agent is silent while discovery is down.
+                (true, _) => Instant::now() + Duration::from_secs(3_600),
+                (false, false) => answered_by,
+                (false, true) => Instant::now() + SILENCE,
+            };
+            let frame = timeout_at(limit, body.frame()).await.map_err(late)?.ok_or(WatchError::Ended)??;
             let Ok(data) = frame.into_data() else { continue };
             buffer.extend_from_slice(&data);
             while let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
                 let line = buffer.split_to(end + 1);
+                let is_first = !told.get();
                 if !line.trim_ascii().is_empty() {
                     let list = serde_json::from_slice(&line).map_err(|e| WatchError::Line(e.to_string()))?;
                     self.take(list, None);
-                    *told = true;
-                } else if !std::mem::replace(told, true) {
+                } else if is_first {
                     // Nothing has changed since the version that was named: that answers the call too.
                     self.driver.membership(MembershipKind::Changes, Vec::new());
                 }
+                if is_first {
+                    told.set(true);
+                    self.follows.set(!self.pushed);
+                }
             }
             if buffer.len() > MAX_LINE {
                 return Err(WatchError::Line("too long".into()));
--- a/src/bin/asterport/main.rs
+++ b/src/bin/asterport/main.rs
@@ -17,12 +17,11 @@
 use serde::Deserialize;
 use serde_json::Value;
 use servers::Servers;
-use std::cell::Cell;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Duration, timeout};
 
@@ -58,7 +57,7 @@
         eprintln!("asterport: {panic}");
         std::process::exit(101);
     }));
-    match read_config().and_then(run) {
+    match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(problem) => {
             eprintln!("asterport: {problem}");
@@ -71,10 +70,16 @@
     format!("{what}: {problem}")
 }
 
-fn read_config() -> Result<Config, String> {
+/// The file as it stands now.
+fn read_file() -> Result<Config, String> {
     let path = std::env::var("GW_CONFIG").map_err(|_| "GW_CONFIG names no configuration file".to_string())?;
     let text = std::fs::read(&path).map_err(|e| plainly(&path, e))?;
-    let mut config: Config = serde_json::from_slice(&text).map_err(|e| plainly(&path, e))?;
+    serde_json::from_slice(&text).map_err(|e| plainly(&path, e))
+}
+
+/// The configuration at the start, in which the environment takes precedence.
+fn read_config() -> Result<Config, String> {
+    let mut config = read_file()?;
     for (name, addr) in [("GW_LISTEN", &mut config.listen), ("GW_DISCOVERY", &mut config.discovery)] {
         if let Ok(text) = std::env::var(name) {
             *addr = text.parse().map_err(|_| format!("{name}: '{text}' is not an address"))?;
@@ -86,6 +91,33 @@
     Ok(config)
 }
 
+impl Config {
+    fn deployment(&self) -> Result<Deployment, String> {
+        let mut pairs = Vec::new();
+        flatten("", &self.settings, &mut pairs);
+        let pairs = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str()));
+        let deployment = params::read(pairs).map_err(|e| e.to_string())?;
+        deployment.settings.validate().map_err(|e| e.to_string())?;
+        Ok(deployment)
+    }
+}
+
+/// Takes the file anew at each SIGHUP, for as long as the program runs. What the environment said at the start no
+/// longer counts then: the file was changed since. Of a running router only `discovery` can change.
+async fn reload(mut hangup: Signal, settings: Value, discovery: Rc<Discovery>) {
+    while hangup.recv().await.is_some() {
+        match read_file().and_then(|config| config.deployment().map(|_| config)) {
+            Ok(config) => {
+                let rest =
+                    if config.settings == settings { "" } else { "; other settings at the next start" };
+                eprintln!("asterport: new configuration: discovery {}{rest}", config.discovery);
+                discovery.move_to(config.discovery);
+            }
+            Err(problem) => eprintln!("asterport: the old configuration holds: {problem}"),
+        }
+    }
+}
+
 /// The settings in the form of the bench's pairs, so that both have one reader: a list of plain values is joined
 /// with commas, a list of objects states its length under `.count` and its items under their numbers.
 fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
@@ -111,17 +143,18 @@
     value.as_str().map_or_else(|| value.to_string(), str::to_string)
 }
 
-fn run(config: Config) -> Result<(), String> {
+fn run() -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| plainly("runtime", e))?;
-    LocalSet::new().block_on(&runtime, route(config))
+    LocalSet::new().block_on(&runtime, route())
 }
 
-async fn route(config: Config) -> Result<(), String> {
-    let mut pairs = Vec::new();
-    flatten("", &config.settings, &mut pairs);
-    let deployment = params::read(pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())));
-    let Deployment { settings, names, dial_timeout } = deployment.map_err(|e| e.to_string())?;
+async fn route() -> Result<(), String> {
+    // Before anything else: without a handler either signal kills the program.
+    let hangup = signal(SignalKind::hangup()).map_err(|e| plainly("signals", e))?;
+    let mut stop = signal(SignalKind::terminate()).map_err(|e| plainly("signals", e))?;
+    let config = read_config()?;
+    let Deployment { settings, names, dial_timeout } = config.deployment()?;
     let seed =
         u64::from_str_radix(&config.seed, 16).map_err(|_| format!("seed: '{}' is not hex", config.seed))?;
     let most = config.limits.sockets.saturating_sub(RESERVED) / 2;
@@ -140,24 +173,17 @@
     let router = Router::new(settings, seed).map_err(|e| e.to_string())?;
 
     let listener = clients::listen(config.listen).map_err(|e| plainly(&config.listen.to_string(), e))?;
-    let mut stop = signal(SignalKind::terminate()).map_err(|e| plainly("signals", e))?;
     let names = Rc::new(names);
     let servers = Servers::new(limits);
     let driver = Driver::new(router, servers.clone());
-    let discovery = Discovery {
-        addr: config.discovery,
-        names: names.clone(),
-        pushed,
-        driver: driver.clone(),
-        servers: servers.clone(),
-        seq: Cell::new(0),
-    };
+    let discovery = Discovery::new(config.discovery, names.clone(), pushed, driver.clone(), servers.clone());
     let known = config.known.unwrap_or_default();
     let addr = listener.local_addr().map_err(|e| plainly("listener", e))?;
     eprintln!("asterport: {} on {addr}, {} servers known", config.name, known.len());
     // Before the first client is answered, so that no request finds an empty ring.
     discovery.known(known);
-    spawn_local(discovery.run());
+    spawn_local(discovery.clone().run());
+    spawn_local(reload(hangup, config.settings, discovery));
     spawn_local(driver.clone().run_timers());
     spawn_local(servers.retire_idle());
     let clients = Clients::new(driver.clone(), names, deadlines, most);
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -208,7 +208,8 @@
     calls: Vec<String>,
     /// What a watch begins with.
     first: String,
-    fails: bool,
+    /// How many of the next calls fail.
+    fails: usize,
     silent: bool,
     stream: Option<TcpStream>,
 }
@@ -262,7 +263,8 @@
         let mut watch = self.watch.lock().unwrap();
         watch.calls.push(call);
         let mut stream = stream;
-        if watch.fails {
+        if watch.fails > 0 {
+            watch.fails -= 1;
             let _ = stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
             return;
         }
@@ -275,12 +277,24 @@
         self.watch.lock().unwrap().calls.clone()
     }
 
+    /// Whether the other side has ended the watch.
+    pub fn is_left(&self) -> bool {
+        let watch = self.watch.lock().unwrap();
+        let Some(mut stream) = watch.stream.as_ref() else { return true };
+        let _ = stream.set_read_timeout(Some(Duration::from_millis(1)));
+        matches!(stream.read(&mut [0]), Ok(0))
+    }
+
     pub fn begins_with(&self, first: String) {
         self.watch.lock().unwrap().first = first;
     }
 
+    pub fn fails_times(&self, times: usize) {
+        self.watch.lock().unwrap().fails = times;
+    }
+
     pub fn fails(&self, fails: bool) {
-        self.watch.lock().unwrap().fails = fails;
+        self.fails_times(if fails { usize::MAX } else { 0 });
     }
 
     pub fn is_silent(&self, silent: bool) {
@@ -395,11 +409,23 @@
         self.log.lock().unwrap().iter().any(|line| line.contains(text))
     }
 
-    pub fn terminate(&self) {
-        let kill = Command::new("/bin/sh").arg("-c").arg(format!("kill -TERM {}", self.child.id())).status();
+    fn signal(&self, name: &str) {
+        let kill =
+            Command::new("/bin/sh").arg("-c").arg(format!("kill -{name} {}", self.child.id())).status();
         assert!(kill.expect("kill runs").success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    /// Replaces the file of the configuration and tells the router.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(self.folder.join("new.json"), text).expect("written");
+        std::fs::rename(self.folder.join("new.json"), self.folder.join("config.json")).expect("replaced");
+        self.signal("HUP");
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("its status").is_none()
     }
@@ -466,3 +492,33 @@
         rest
     }
 }
+
+/// A router that knows these servers, and its discovery, which has nothing new.
+pub fn router_of(servers: &[&Server]) -> (Router, Discovery) {
+    let discovery = Discovery::start(list(7, false, &[]));
+    let known: Vec<String> = servers.iter().map(|server| server.entry("up")).collect();
+    let router = Router::start(&config(discovery.addr, &known));
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    (router, discovery)
+}
+
+/// Two servers; the first is the owner of the key.
+pub fn pair_for(key: &str) -> (Server, Server, Router, Discovery) {
+    let (a, b) = (Server::start("s-a"), Server::start("s-b"));
+    let (router, discovery) = router_of(&[&a, &b]);
+    assert!(router.client().ask("read", key).contains("s-"));
+    let (owner, other) = if a.commands().is_empty() { (b, a) } else { (a, b) };
+    (owner, other, router, discovery)
+}
+
+/// A listener whose queue of connections is full: new ones stay unanswered, as with a machine that vanished.
+pub fn silent_listener() -> (TcpListener, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let addr = listener.local_addr().unwrap();
+    let limit = Duration::from_millis(100);
+    let fillers = (0..4).map_while(|_| TcpStream::connect_timeout(&addr, limit).ok()).collect();
+    (listener, fillers)
+}
--- /dev/null
+++ b/tests/router_servers.rs
@@ -0,0 +1,191 @@
+//! Attempts at cache servers: connections, outcomes and what goes on the wire. The real binary against fake peers on loopback sockets.
+
+mod common;
+
+use common::sockets::*;
+use std::time::Instant;
+
+#[test]
+fn a_read_and_a_write_are_served_unchanged_but_for_the_wait() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    client.write(&command(&["PING"]));
+    assert_eq!(client.answer().unwrap(), "+PONG\r\n");
+    client.write(&command(&["C.GET", "7f3a9c21e0b4d655", "9b1f", "c=read,t=acme,d=900,h=1200,size=7"]));
+    assert_eq!(client.answer().unwrap().into_bytes(), value("s-a"));
+    client.write(&command(&["C.SET", "7f3a9c21e0b4d655", "9b20", "c=put,t=acme,d=900,k=5c0f", "answers"]));
+    assert_eq!(client.answer().unwrap().into_bytes(), value("s-a"));
+    let commands = server.commands();
+    let wait =
+        |fields: &str| fields.split(",d=").nth(1).unwrap().split(',').next().unwrap().parse::<u64>().unwrap();
+    let (read, write) = (&commands[0], &commands[1]);
+    assert_eq!(read[..3], ["C.GET", "7f3a9c21e0b4d655", "9b1f"]);
+    assert!((1..=900).contains(&wait(&read[3])), "{}", read[3]);
+    assert_eq!(read[3].replace(&format!("d={}", wait(&read[3])), "d="), "c=read,t=acme,d=,h=1200,size=7");
+    assert_eq!(write[..3], ["C.SET", "7f3a9c21e0b4d655", "9b20"]);
+    assert_eq!(write[4], "answers");
+    assert!(write[3].ends_with(",k=5c0f"));
+    assert_eq!(server.connections().0, 1, "the second request takes the idle connection");
+}
+
+/// Each row of the table of what comes back, with a request that must never run twice: it is declined only where
+/// nothing can have run.
+#[test]
+fn every_row_of_the_outcome_table() {
+    let null = b"*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n".to_vec();
+    let rows = [
+        ("a value", Does::Serves, "*3"),
+        ("an error", Does::Says(b"-ERR failed\r\n".to_vec()), "-ERR"),
+        ("an error with a load report", Does::Says(b"-ERR failed inflight=7,queue=2\r\n".to_vec()), "-ERR"),
+        ("busy", Does::Says(b"-BUSY\r\n".to_vec()), "-BUSY"),
+        ("busy with a load report", Does::Says(b"-BUSY inflight=7,queue=2\r\n".to_vec()), "-BUSY"),
+        ("a null", Does::Says(null), "-ERR"),
+        ("no value", Does::Says(b"*0\r\n".to_vec()), "-ERR"),
+        ("another form", Does::Says(b":7\r\n".to_vec()), "-ERR"),
+        ("no RESP", Does::Says(b"what?\r\n".to_vec()), "-ERR"),
+        ("an end after the command", Does::SaysAndEnds(Vec::new()), "-ERR"),
+        ("an end within the value", Does::SaysAndEnds(b"*3\r\n$9\r\nhalf".to_vec()), "-ERR"),
+        ("nothing", Does::IsSilent, "-ERR"),
+    ];
+    for (what, does, expected) in rows {
+        let server = Server::start("s-a");
+        server.usually(does);
+        let (router, _discovery) = router_of(&[&server]);
+        let mut client = router.client();
+        client.send("once", "7f3a9c21e0b4d655", 300);
+        let answer = client.answer().unwrap_or_else(|| panic!("{what}: no answer"));
+        assert!(answer.starts_with(expected), "{what}: {answer}");
+        assert_eq!(server.commands().len(), 1, "{what}: sent once");
+        client.write(&command(&["PING"]));
+        assert_eq!(client.answer().unwrap(), "+PONG\r\n", "{what}: one answer");
+    }
+}
+
+#[test]
+fn a_refused_connection_proves_that_nothing_ran() {
+    let server = Server::start("s-a");
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let discovery = Discovery::start(list(7, false, &[]));
+    let router = Router::start(&config(discovery.addr, &[entry(&server.name, closed, "up")]));
+    let start = Instant::now();
+    let answer = router.client().ask("once", "7f3a9c21e0b4d655");
+    // At once, and with advice in milliseconds on when to come back.
+    let advice = answer.strip_prefix("-BUSY ").unwrap_or_else(|| panic!("{answer}"));
+    assert!((1..=1_000).contains(&advice.trim_end().parse::<u64>().unwrap()), "{answer}");
+    assert!(start.elapsed().as_millis() < 3_000, "{:?}", start.elapsed());
+    assert!(server.commands().is_empty());
+}
+
+#[test]
+fn a_connection_that_never_comes_up_has_its_own_limit() {
+    let (silent, _fillers) = silent_listener();
+    let discovery = Discovery::start(list(7, false, &[]));
+    let router = Router::start(&config(discovery.addr, &[entry("s-a", silent.local_addr().unwrap(), "up")]));
+    let start = Instant::now();
+    // Declined: the proof that nothing ran. And long before the client's 4 s are up.
+    assert!(router.client().ask("once", "7f3a9c21e0b4d655").starts_with("-BUSY"));
+    assert!(start.elapsed().as_millis() < 3_000, "{:?}", start.elapsed());
+}
+
+/// Guards the drain grace: a connection that comes up after the notice carries nothing.
+#[test]
+fn nothing_reaches_a_server_that_drains_while_its_connection_comes_up() {
+    let (silent, fillers) = silent_listener();
+    let other = Server::start("s-b");
+    let addr = silent.local_addr().unwrap();
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[entry("s-a", addr, "up")]);
+    config["settings"]["limits"]["dial_timeout"] = 15.0.into();
+    let router = Router::start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let mut client = router.client();
+    client.send("once", "7f3a9c21e0b4d655", 16_000);
+    client.write(&command(&["PING"]));
+    let news = list(8, false, &[entry("s-a", addr, "draining"), other.entry("up")]);
+    discovery.writes(&format!("{news}\n"));
+    let mut second = router.client();
+    wait_until("the drain is known", || second.ask("read", "00000000000000aa").contains("s-b"));
+    drop(fillers);
+    let drained = Server::on("s-a", silent);
+    // It never ran there, so that it may go to the other server.
+    assert!(client.answer().unwrap().contains("s-b"));
+    assert!(drained.commands().is_empty(), "{:?}", drained.commands());
+}
+
+#[test]
+fn a_keyed_write_that_may_have_run_is_sent_again_as_it_was() {
+    let key = "7f3a9c21e0b4d655";
+    let (owner, other, router, _discovery) = pair_for(key);
+    owner.usually(Does::SaysAndEnds(Vec::new()));
+    let mut client = router.client();
+    assert!(client.ask("put", key).contains(&other.name));
+    let (first, second) = (owner.commands().pop().unwrap(), other.commands().pop().unwrap());
+    assert_eq!(first[..3], second[..3]);
+    assert!(first[3].ends_with(",k=5c0f") && second[3].ends_with(",k=5c0f"));
+    assert_eq!(first[4], second[4]);
+}
+
+/// Guards a failing origin: on sockets an error does not tell that a fetch failed, only its time does.
+#[test]
+fn a_failed_fetch_is_not_repeated_elsewhere_and_a_quick_error_is() {
+    let (a, b) = (Server::start("s-a"), Server::start("s-b"));
+    let error = b"-ERR failed\r\n".to_vec();
+    for server in [&a, &b] {
+        server.does("00000000000000aa", Does::Says(error.clone()));
+        server.does("00000000000000bb", Does::SaysAfter(600, error.clone()));
+    }
+    let (router, _discovery) = router_of(&[&a, &b]);
+    let mut client = router.client();
+    let sent = |key: &str| a.commands().iter().chain(&b.commands()).filter(|words| words[1] == key).count();
+    assert!(client.ask("read", "00000000000000aa").starts_with("-BUSY "));
+    assert_eq!(sent("00000000000000aa"), 2);
+    assert!(client.ask("read", "00000000000000bb").starts_with("-BUSY "));
+    assert_eq!(sent("00000000000000bb"), 1);
+}
+
+/// Guards against a reset that may have run: connections are retired before the cache server closes them.
+#[test]
+fn idle_connections_are_retired_in_time() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    config["settings"]["limits"]["conn_idle"] = 1.0.into();
+    let router = Router::start(&config);
+    let mut client = router.client();
+    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    wait_until("the router closes it", || server.connections() == (1, 1));
+    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    assert_eq!(server.connections().0, 2);
+}
+
+#[test]
+fn a_connection_that_ended_while_idle_is_not_written_to() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    assert!(client.ask("once", "00000000000000aa").contains("s-a"));
+    server.end_connections();
+    wait_until("it has ended", || server.connections() == (1, 1));
+    // A request that must never run twice would fail on it.
+    assert!(client.ask("once", "00000000000000aa").contains("s-a"));
+    assert_eq!(server.connections().0, 2);
+}
+
+/// Guards against answers for the wrong request: a connection with a late answer on it is not used again.
+#[test]
+fn a_late_answer_goes_to_nobody() {
+    let server = Server::start("s-a");
+    server.does("00000000000000aa", Does::ServesLater);
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    client.send("once", "00000000000000aa", 200);
+    assert!(client.answer().unwrap().starts_with("-ERR"));
+    server.does("00000000000000bb", Does::Says(value("right")));
+    server.open_gate();
+    assert!(client.ask("read", "00000000000000bb").contains("right"));
+    let double = [value("right"), value("stray")].concat();
+    server.does("00000000000000cc", Does::Says(double));
+    assert!(client.ask("read", "00000000000000cc").contains("right"));
+    assert!(client.ask("read", "00000000000000dd").contains("s-a"));
+}
--- /dev/null
+++ b/tests/router_signals.rs
@@ -0,0 +1,155 @@
+//! Start, SIGHUP, SIGTERM and end of the router. The real binary against fake peers on loopback sockets.
+
+mod common;
+
+use common::sockets::*;
+use std::time::Instant;
+
+#[test]
+fn after_sigterm_all_that_was_taken_is_answered() {
+    let server = Server::start("s-a");
+    server.does("00000000000000aa", Does::ServesLater);
+    let (mut router, _discovery) = router_of(&[&server]);
+    let (mut busy, mut idle) = (router.client(), router.client());
+    assert!(idle.ask("read", "00000000000000bb").contains("s-a"));
+    busy.send("read", "00000000000000aa", 4_000);
+    wait_until("it is at the server", || server.commands().len() == 2);
+    router.terminate();
+    // New connections go on coming for a while, and are served.
+    assert!(router.client().ask("read", "00000000000000cc").contains("s-a"));
+    // An idle one is closed, with nothing lost on it.
+    assert_eq!(idle.answer(), None);
+    assert!(router.is_running(), "it waits for the answer that it owes");
+    server.open_gate();
+    assert!(busy.answer().unwrap().contains("s-a"));
+    assert_eq!(busy.answer(), None);
+    assert_eq!(router.wait().code(), Some(0));
+}
+
+#[test]
+fn after_sigterm_it_ends_before_it_is_killed() {
+    let server = Server::start("s-a");
+    server.usually(Does::IsSilent);
+    let (mut router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    client.send("once", "00000000000000aa", 60_000);
+    wait_until("it is at the server", || server.commands().len() == 1);
+    let start = Instant::now();
+    router.terminate();
+    assert_eq!(router.wait().code(), Some(0));
+    // The longest deadline is 4 s, and SIGKILL comes 0.7 s after it.
+    assert!(start.elapsed().as_millis() < 4_700, "{:?}", start.elapsed());
+}
+
+#[test]
+fn it_starts_again_at_the_same_address() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    let first = Router::start(&config);
+    let addr = first.addr;
+    let mut client = first.client();
+    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    // Killed with a client connected: its side of that connection lingers.
+    drop(first);
+    config["listen"] = addr.to_string().into();
+    let second = Router::start(&config);
+    assert_eq!(second.addr, addr);
+    assert!(second.client().ask("read", "00000000000000aa").contains("s-a"));
+}
+
+#[test]
+fn a_bad_configuration_is_one_plain_line() {
+    let discovery = Discovery::start(list(7, false, &[]));
+    let good = config(discovery.addr, &[]);
+    let mut no_classes = good.clone();
+    no_classes["settings"].as_object_mut().unwrap().remove("request_classes");
+    let mut bad_address = good;
+    bad_address["listen"] = "here".into();
+    for text in ["{", "[]", &no_classes.to_string(), &bad_address.to_string()] {
+        let (status, log) = run_to_end(text);
+        assert_eq!(status.code(), Some(2), "{log}");
+        assert_eq!(log.lines().count(), 1, "{log}");
+    }
+}
+
+/// A new configuration under load: where lists are asked for and where an agent has them. What the environment said
+/// at the start does not hold the router at the old address.
+#[test]
+fn after_sighup_the_list_comes_from_the_new_discovery() {
+    for mode in ["subscribe", "automatic"] {
+        let (old, new) = (Server::start("s-a"), Server::start("s-b"));
+        let (first, second) =
+            (Discovery::start(list(41, false, &[])), Discovery::start(list(3, true, &[new.entry("up")])));
+        let mut config = config(Server::start("nowhere").addr, &[old.entry("up")]);
+        config["settings"]["discovery"] = mode.into();
+        let mut router = Router::start_after(&config, &format!("export GW_DISCOVERY={};", first.addr));
+        wait_until("the router watches", || !first.calls().is_empty());
+        let mut client = router.client();
+        assert!(client.ask("read", "00000000000000aa").contains("s-a"), "{mode}");
+        config["discovery"] = second.addr.to_string().into();
+        let start = Instant::now();
+        router.reload(&config.to_string());
+        wait_until("the new list", || client.ask("read", "00000000000000aa").contains("s-b"));
+        assert!(start.elapsed().as_secs_f64() < 4.0, "{mode}: {:?}", start.elapsed());
+        assert!(second.calls()[0].contains("after=0 "), "{mode}: {:?}", second.calls());
+        assert_eq!((first.calls().len(), second.calls().len()), (1, 1), "{mode}: one call each");
+        wait_until("the old watch is closed", || first.is_left());
+        // And once more, back to the first.
+        first.begins_with(list(50, true, &[old.entry("up")]));
+        config["discovery"] = first.addr.to_string().into();
+        router.reload(&config.to_string());
+        wait_until("the old list again", || client.ask("read", "00000000000000aa").contains("s-a"));
+        // The watch at the last address is the one that counts.
+        first.writes(&format!("{}\n", list(51, true, &[new.entry("up")])));
+        wait_until("its change", || client.ask("read", "00000000000000aa").contains("s-b"));
+        assert!(router.is_running());
+    }
+}
+
+/// The module's back-off has grown long with the old discovery: it does not hold up the new one, which fails at first.
+#[test]
+fn after_sighup_no_back_off_holds_the_new_discovery_up() {
+    let (old, new) = (Server::start("s-a"), Server::start("s-b"));
+    let (first, second) =
+        (Discovery::start(list(7, false, &[])), Discovery::start(list(3, true, &[new.entry("up")])));
+    first.fails(true);
+    second.fails_times(2);
+    let mut config = config(first.addr, &[old.entry("up")]);
+    config["settings"]["invariants"]["ask_within"] = 1_000.0.into();
+    let router = Router::start(&config);
+    wait_until("the call has failed", || router.log_has("discovery: watch"));
+    config["discovery"] = second.addr.to_string().into();
+    router.reload(&config.to_string());
+    let mut client = router.client();
+    wait_until("the new list", || client.ask("read", "00000000000000aa").contains("s-b"));
+    assert_eq!(second.calls().len(), 3);
+}
+
+#[test]
+fn after_sighup_a_bad_file_leaves_the_old_configuration() {
+    let (old, new) = (Server::start("s-a"), Server::start("s-b"));
+    let discovery = Discovery::start(list(7, false, &[]));
+    let good = config(discovery.addr, &[old.entry("up")]);
+    let mut router = Router::start(&good);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let mut no_classes = good.clone();
+    no_classes["settings"].as_object_mut().unwrap().remove("request_classes");
+    let mut bad_address = good.clone();
+    bad_address["discovery"] = "there".into();
+    for (count, text) in ["{", "", &no_classes.to_string(), &bad_address.to_string()].into_iter().enumerate()
+    {
+        router.reload(text);
+        let lines = || {
+            router.log.lock().unwrap().iter().filter(|line| line.contains("old configuration holds")).count()
+        };
+        wait_until("it says so", || lines() == count + 1);
+    }
+    let mut client = router.client();
+    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    // The old watch goes on.
+    discovery.writes(&format!("{}\n", list(8, true, &[new.entry("up")])));
+    wait_until("a change", || client.ask("read", "00000000000000aa").contains("s-b"));
+    assert_eq!(discovery.calls().len(), 1);
+    assert!(router.is_running());
+}
