Answers: only the rows of the table; what a server spoils is not laid to idle connections

"From the answer to the client" 39 ms in the 99th percentile: the delayed acknowledgement of the kernel. The probe is a_spoilt_answer_costs_no_other_connection: one Broken on a connection that had been idle makes learn_connection() (balance.rs) take all idle connections of half that age for dead, and idle_connection() then asks for CloseIdle before nearly every attempt, for 20 s. With that line as it was the new test counts a connection for each request. Ruled out: the limits on fetches (late_failures): Failure with no note is the rarer outcome, Broken teaches nothing there. Also seen while testing: a second copy is held back by the server's kernel until the router acknowledges the first (Nagle), and so comes just with the next answer: 15 % of the rounds of the new test served a stale value. To blame: balance.rs learn_connection(), Outcome::Broken; servers.rs read_answer() (anything decodable was an answer or Failure) and put_back() (the connection used again at once); resp.rs is_whole() for answers up to 256 KiB. Change: resp.rs reads answers by the table (exactly three items, value of 64 KiB, -ERR, -BUSY), each byte once; the rest is Broken, may have run, and ends its connection, also an answer that begins and then pauses for as long as a connect may take. A value whose report is missing or unreadable is served with a null for it. Answers are acknowledged at once, and a connection rests for 5 ms and a round trip before it is used again. AttemptEnd tells whether an answer had begun: then the module does not doubt its idle connections.

--- a/src/api.rs
+++ b/src/api.rs
@@ -430,6 +430,9 @@
     pub elapsed: Micros,
     /// How the server came by the answer.
     pub note: Option<CacheNote>,
+    /// Something of an answer came back: whatever the outcome, the connection was alive. False where that is not
+    /// known.
+    pub begun: bool,
 }
 
 /// What happens to the router.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -465,11 +465,12 @@
     }
 
     /// A broken idle connection is proof; silence has other causes too: it takes more of it than of answers.
-    fn learn_connection(&mut self, idle: Option<Micros>, outcome: Outcome) {
+    /// What breaks once an answer has begun was spoilt by the server, on a connection that was well.
+    fn learn_connection(&mut self, idle: Option<Micros>, end: &AttemptEnd) {
         let Some(idle) = idle else { return };
-        self.doubt = match outcome {
-            Outcome::TimedOut => (self.doubt + 1).min(DOUBT),
-            Outcome::Broken => DOUBT,
+        self.doubt = match end.outcome {
+            Outcome::TimedOut if !end.begun => (self.doubt + 1).min(DOUBT),
+            Outcome::Broken if !end.begun => DOUBT,
             _ => self.doubt.saturating_sub(1),
         };
         if self.doubt == DOUBT {
@@ -536,7 +537,7 @@
             let (index, fetch, idle) = (tried.server, tried.fetch, tried.idle);
             let end = self.with_note(end);
             self.servers[index].last_used = self.now;
-            self.learn_connection(idle, end.outcome);
+            self.learn_connection(idle, &end);
             // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
             let slow = end.elapsed > aim.scaled(SLOW_SHARE);
             self.popular.entry(held.place).and_modify(|count| *count += f64::from(u8::from(slow)));
--- a/src/bin/asterport/driver.rs
+++ b/src/bin/asterport/driver.rs
@@ -230,6 +230,7 @@
                 complete,
                 elapsed,
                 note,
+                begun: false,
             }));
             return;
         }
@@ -261,8 +262,8 @@
                 None => true,
             }
         };
-        let Ended { outcome, note, .. } = ended;
-        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note }));
+        let Ended { outcome, note, begun, .. } = ended;
+        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun }));
         self.forget(id);
     }
 
--- a/src/bin/asterport/resp.rs
+++ b/src/bin/asterport/resp.rs
@@ -1,6 +1,7 @@
 //! RESP2 as clients and cache servers speak it: whole frames from a buffer, and a client's command.
 
 use bytes::{Bytes, BytesMut};
+use onyxpick::CacheNote;
 use redis_protocol::resp2::decode::decode_bytes_mut;
 pub use redis_protocol::resp2::types::BytesFrame;
 use std::fmt;
@@ -94,6 +95,155 @@
     Ok(true)
 }
 
+/// What a cache server said: the rows of the table of outcomes, and nothing else.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Reply {
+    /// The value or receipt as bytes for the client, and how the read went.
+    Served { bytes: Bytes, note: Option<CacheNote> },
+    /// `-ERR`.
+    Failed,
+    /// `-BUSY`.
+    Busy,
+}
+
+/// How long a line of a peer's may be: an error with a load report, a header, a load report.
+const MAX_ERROR: usize = 512;
+const MAX_HEADER: usize = 24;
+const MAX_REPORT: usize = 256;
+/// How a read went is one short word.
+const MAX_NOTE: usize = 16;
+
+/// Reads one answer, and each byte of it about once however it comes. A value that is too large or ends where it
+/// should not is turned away as soon as that shows.
+#[derive(Debug, Default)]
+pub struct ReplyReader {
+    /// Where the items that have been read whole end.
+    at: usize,
+    items: usize,
+    note: Option<CacheNote>,
+}
+
+impl ReplyReader {
+    /// The value is whole, and how the read went: what is missing is the load report, which nobody reads.
+    pub fn has_value(&self) -> bool {
+        self.items == 3
+    }
+
+    /// The answer if it is whole, taken off the buffer. An error means that it can't be read and nor can what follows.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Reply>, RespError> {
+        if self.items == 0 {
+            match buffer.first() {
+                None => return Ok(None),
+                Some(b'-') => return error_reply(buffer),
+                Some(_) => {}
+            }
+            let Some((count, end)) = header(buffer, b'*')? else { return Ok(None) };
+            if count != Some(3) {
+                return Err(RespError::Malformed);
+            }
+            (self.at, self.items) = (end, 1);
+        }
+        if self.items == 1 {
+            let Some((value, end)) = bulk(buffer, self.at, MAX_VALUE)? else { return Ok(None) };
+            value.ok_or(RespError::Malformed)?;
+            (self.at, self.items) = (end, 2);
+        }
+        if self.items == 2 {
+            let Some((word, end)) = bulk(buffer, self.at, MAX_NOTE)? else { return Ok(None) };
+            self.note = match word {
+                Some(b"hit") => Some(CacheNote::Hit),
+                Some(b"miss") => Some(CacheNote::Miss),
+                Some(b"pending") => Some(CacheNote::MissPending),
+                Some(word) if !word.iter().all(u8::is_ascii_alphabetic) => return Err(RespError::Malformed),
+                _ => None,
+            };
+            (self.at, self.items) = (end, 3);
+        }
+        match bulk(buffer, self.at, MAX_REPORT) {
+            Ok(None) => Ok(None),
+            Ok(Some((report, end))) if report.is_none_or(|text| text.iter().all(is_printable)) => {
+                let bytes = buffer.split_to(end).freeze();
+                Ok(Some(Reply::Served { bytes, note: self.note }))
+            }
+            // What is left in the buffer tells that the connection is of no further use.
+            Ok(Some(_)) | Err(_) => Ok(Some(self.served_without_report(buffer))),
+        }
+    }
+
+    /// The answer with a null for the load report that could not be read or never came.
+    pub fn served_without_report(&self, buffer: &BytesMut) -> Reply {
+        let bytes = Bytes::from([&buffer[..self.at], b"$-1\r\n"].concat());
+        Reply::Served { bytes, note: self.note }
+    }
+}
+
+fn is_printable(byte: &u8) -> bool {
+    (b' '..=b'~').contains(byte)
+}
+
+fn error_reply(buffer: &mut BytesMut) -> Result<Option<Reply>, RespError> {
+    let Some(length) = line(buffer, MAX_ERROR)? else { return Ok(None) };
+    let text = buffer.split_to(length + 2);
+    let text = &text[1..length];
+    if !text.iter().all(is_printable) {
+        return Err(RespError::Malformed);
+    }
+    match text.split(|&byte| byte == b' ').next() {
+        Some(b"ERR") => Ok(Some(Reply::Failed)),
+        Some(b"BUSY") => Ok(Some(Reply::Busy)),
+        _ => Err(RespError::Malformed),
+    }
+}
+
+/// The length of the line that the bytes begin with; an error if it is longer than `most`.
+fn line(bytes: &[u8], most: usize) -> Result<Option<usize>, RespError> {
+    let seen = &bytes[..bytes.len().min(most)];
+    match seen.windows(2).position(|pair| pair == b"\r\n") {
+        Some(length) => Ok(Some(length)),
+        None if bytes.len() >= most => Err(RespError::TooLarge),
+        None => Ok(None),
+    }
+}
+
+/// The number in the header that the bytes begin with, none for -1, and where the header ends.
+fn header(bytes: &[u8], kind: u8) -> Result<Option<(Option<usize>, usize)>, RespError> {
+    if bytes.first().is_some_and(|&first| first != kind) {
+        return Err(RespError::Malformed);
+    }
+    let Some(length) = line(bytes, MAX_HEADER)? else { return Ok(None) };
+    let number = match bytes.get(1..length) {
+        Some(b"-1") => None,
+        Some(digits) => Some(digits_of(digits).ok_or(RespError::Malformed)?),
+        None => return Err(RespError::Malformed),
+    };
+    Ok(Some((number.map(|n| usize::try_from(n).unwrap_or(usize::MAX)), length + 2)))
+}
+
+/// A number of digits alone: no sign, no space. More than fits is the largest number.
+fn digits_of(digits: &[u8]) -> Option<u64> {
+    let fits = |number: u64, digit: u8| number.saturating_mul(10).saturating_add(u64::from(digit - b'0'));
+    let all = !digits.is_empty() && digits.iter().all(u8::is_ascii_digit);
+    all.then(|| digits.iter().fold(0, |number, &digit| fits(number, digit)))
+}
+
+/// A bulk string as far as it has come: none while it is not whole, its bytes (none for a null) and where it ends.
+type Bulk<'a> = Option<(Option<&'a [u8]>, usize)>;
+
+/// The bulk string at this place, of at most so many bytes.
+fn bulk(bytes: &[u8], at: usize, most: usize) -> Result<Bulk<'_>, RespError> {
+    let Some((size, length)) = header(&bytes[at..], b'$')? else { return Ok(None) };
+    let start = at + length;
+    let Some(size) = size else { return Ok(Some((None, start))) };
+    if size > most {
+        return Err(RespError::TooLarge);
+    }
+    match bytes.get(start + size..start + size + 2) {
+        Some(b"\r\n") => Ok(Some((Some(&bytes[start..start + size]), start + size + 2))),
+        Some(_) => Err(RespError::Malformed),
+        None => Ok(None),
+    }
+}
+
 /// A read or a write as the client sent it.
 #[derive(Debug)]
 pub struct Command {
--- a/src/bin/asterport/servers.rs
+++ b/src/bin/asterport/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
 
-use crate::resp::{BytesFrame, Command, READ_SIZE, next_frame};
+use crate::resp::{Command, READ_SIZE, Reply, ReplyReader};
 use bytes::{Bytes, BytesMut};
 use onyxpick::{CacheNote, Outcome, ServerId, ServerState};
 use std::cell::{Cell, RefCell};
@@ -17,6 +17,11 @@
 /// Idle connections are retired after this share of the time at which a cache server closes them: one written to
 /// just as it closes ends as a reset, which may have run.
 const RETIRE_SHARE: f64 = 0.8;
+/// A connection is not used again for this long and one round trip: what a cache server wrote behind its answer shows
+/// by then, and is not taken for the answer to the next request.
+const QUIET_TIME: Duration = Duration::from_millis(5);
+/// A value is served without its load report if that is not there so much later.
+const REPORT_WAIT: Duration = Duration::from_millis(20);
 
 /// What the settings and the descriptors allow.
 #[derive(Clone, Copy, Debug)]
@@ -32,11 +37,13 @@
     pub outcome: Outcome,
     pub note: Option<CacheNote>,
     pub answer: Option<Bytes>,
+    /// Something came back: the connection was alive, whatever became of the answer.
+    pub begun: bool,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, note: None, answer: None }
+        Ended { outcome, note: None, answer: None, begun: false }
     }
 }
 
@@ -61,6 +68,8 @@
     received: BytesMut,
     /// Where it leads: `dial` may change while it is out.
     addr: SocketAddr,
+    /// A round trip, as long as the connection took to come up.
+    round_trip: Duration,
     _room: OwnedSemaphorePermit,
 }
 
@@ -71,6 +80,13 @@
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
         matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
+
+    /// Acknowledges what came without the usual delay. A peer that writes in pieces may hold the next one back until
+    /// then: the rest of an answer, or what does not belong to it, which must not come with the next answer.
+    fn acknowledge(&self) {
+        // Where it can't be set, the kernel acknowledges a little later.
+        let _ = self.stream.set_quickack(true);
+    }
 }
 
 impl Servers {
@@ -143,32 +159,52 @@
                 _ => return Outcome::Unreachable.into(),
             }
         }
+        self.read_answer(&server, connection, until).await
+    }
+
+    /// The answer to the one command that is out on the connection. What is no answer may have run, and ends the
+    /// connection: nothing on it can be told apart any more. So does anything behind a good answer.
+    async fn read_answer(&self, server: &ServerId, mut connection: Connection, until: Instant) -> Ended {
+        let mut reader = ReplyReader::default();
+        let mut begun = false;
+        let broken = |begun| Ended { begun, ..Outcome::Broken.into() };
         loop {
-            match next_frame(&mut connection.received) {
-                Ok(Some((frame, raw))) => {
+            match reader.next(&mut connection.received) {
+                Ok(Some(reply)) => {
                     if connection.received.is_empty() {
-                        self.put_back(&server, connection);
+                        self.put_back(server, connection);
                     }
-                    return read_answer(&frame, raw);
+                    return reply.into();
                 }
                 Ok(None) => {}
-                Err(_) => return Outcome::Broken.into(),
+                Err(_) => return broken(true),
             }
+            // Guards against answers that never end: cache servers write an answer in one go.
+            let pause = if reader.has_value() { REPORT_WAIT } else { self.limits.dial_timeout };
+            let limit = if begun { until.min(Instant::now() + pause) } else { until };
             let Connection { stream, received, .. } = &mut connection;
             received.reserve(READ_SIZE);
-            match timeout_at(until, stream.read_buf(received)).await {
-                Ok(Ok(count)) if count > 0 => {}
-                Ok(_) => return Outcome::Broken.into(),
-                Err(_) => return Outcome::TimedOut.into(),
+            match timeout_at(limit, stream.read_buf(received)).await {
+                Ok(Ok(count)) if count > 0 => {
+                    begun = true;
+                    connection.acknowledge();
+                }
+                _ if reader.has_value() => return reader.served_without_report(received).into(),
+                Err(_) if limit == until => return Ended { begun, ..Outcome::TimedOut.into() },
+                _ => return broken(begun),
             }
         }
     }
 
-    /// The idle connection used last, so that the others grow old and are retired.
+    /// The idle connection used last but not just now, so that the others grow old and are retired.
     fn idle_connection(&self, server: &ServerId) -> Option<Connection> {
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(server)?;
-        while let Some((connection, since)) = pool.idle.pop() {
+        let idle = &mut pools.get_mut(server)?.idle;
+        let is_settled = |(connection, since): &(Connection, Instant)| {
+            since.elapsed() >= QUIET_TIME + connection.round_trip
+        };
+        while let Some(place) = idle.iter().rposition(is_settled) {
+            let (connection, since) = idle.remove(place);
             if self.is_fresh(since) && connection.is_quiet() {
                 return Some(connection);
             }
@@ -176,7 +212,8 @@
         None
     }
 
-    fn put_back(&self, server: &ServerId, connection: Connection) {
+    fn put_back(&self, server: &ServerId, mut connection: Connection) {
+        connection.received = BytesMut::new();
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(server).filter(|pool| pool.addr == connection.addr);
         if let Some(pool) = pool {
@@ -195,9 +232,11 @@
                     self.room.clone().acquire_owned().await.map_err(io::Error::other)?
                 }
             };
+            let start = Instant::now();
             let stream = TcpStream::connect(addr).await?;
             stream.set_nodelay(true)?;
-            io::Result::Ok(Connection { stream, received: BytesMut::new(), addr, _room: room })
+            let round_trip = start.elapsed();
+            io::Result::Ok(Connection { stream, received: BytesMut::new(), addr, round_trip, _room: room })
         };
         tokio::select! {
             connection = dial => {
@@ -220,26 +259,13 @@
     }
 }
 
-/// The table of what comes back. Only a refusal says that nothing ran; a null is no value.
-fn read_answer(frame: &BytesFrame, raw: Bytes) -> Ended {
-    let items = match frame {
-        BytesFrame::Array(items) => items,
-        BytesFrame::Error(text) if text.split(' ').next() == Some("BUSY") => {
-            return Outcome::Overloaded.into();
-        }
-        _ => return Outcome::Failure.into(),
-    };
-    let note = match items.get(1) {
-        Some(BytesFrame::BulkString(word)) => match &word[..] {
-            b"hit" => Some(CacheNote::Hit),
-            b"miss" => Some(CacheNote::Miss),
-            b"pending" => Some(CacheNote::MissPending),
-            _ => None,
-        },
-        _ => None,
-    };
-    match items.first() {
-        Some(BytesFrame::BulkString(_)) => Ended { outcome: Outcome::Success, note, answer: Some(raw) },
-        _ => Ended { outcome: Outcome::Failure, note, answer: None },
+impl From<Reply> for Ended {
+    fn from(reply: Reply) -> Self {
+        let (outcome, note, answer) = match reply {
+            Reply::Served { bytes, note } => (Outcome::Success, note, Some(bytes)),
+            Reply::Failed => (Outcome::Failure, None, None),
+            Reply::Busy => (Outcome::Overloaded, None, None),
+        };
+        Ended { outcome, note, answer, begun: true }
     }
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -81,6 +81,7 @@
             complete: outcome == Outcome::Success,
             elapsed: ms(took),
             note: None,
+            begun: false,
         }))
     }
 
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -72,6 +72,10 @@
     SaysAfter(u64, Vec<u8>),
     /// Answers with these bytes and ends the connection.
     SaysAndEnds(Vec<u8>),
+    /// Answers with these bytes and, so many milliseconds later, with the others.
+    SaysThen(Vec<u8>, u64, Vec<u8>),
+    /// Answers with these bytes and then with the others again and again, until the connection ends.
+    SaysWithoutEnd(Vec<u8>, Vec<u8>),
     /// Says nothing.
     IsSilent,
     /// Serves once [`Server::open_gate`] was called.
@@ -86,6 +90,8 @@
     ended: usize,
     does: HashMap<String, Does>,
     usually: Option<Does>,
+    /// Of each [`Does::SaysThen`]: the time from before its first write until after its second.
+    gaps: Vec<Duration>,
     gate: bool,
     streams: Vec<TcpStream>,
 }
@@ -141,6 +147,21 @@
                     (bytes, false)
                 }
                 Does::SaysAndEnds(bytes) => (bytes, true),
+                Does::SaysThen(first, millis, second) => {
+                    let start = Instant::now();
+                    let mut written = writer.write_all(&first);
+                    thread::sleep(Duration::from_millis(millis));
+                    written = written.and_then(|()| writer.write_all(&second));
+                    self.seen.0.lock().unwrap().gaps.push(start.elapsed());
+                    (Vec::new(), written.is_err())
+                }
+                Does::SaysWithoutEnd(first, again) => {
+                    let mut written = writer.write_all(&first);
+                    while written.is_ok() {
+                        written = writer.write_all(&again);
+                    }
+                    (Vec::new(), true)
+                }
                 Does::IsSilent => continue,
                 Does::ServesLater => {
                     let seen = self.seen.0.lock().unwrap();
@@ -166,6 +187,10 @@
         self.seen.0.lock().unwrap().does.insert(key.to_string(), does);
     }
 
+    pub fn gaps(&self) -> Vec<Duration> {
+        self.seen.0.lock().unwrap().gaps.clone()
+    }
+
     pub fn open_gate(&self) {
         self.seen.0.lock().unwrap().gate = true;
         self.seen.1.notify_all();
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -23,7 +23,7 @@
 fn ended(id: RequestId, outcome: Outcome, took: u64, note: Option<CacheNote>) -> Event {
     let complete = outcome == Outcome::Success;
     let elapsed = ms(took);
-    Event::Ended(AttemptEnd { id, attempt: AttemptNo(0), outcome, complete, elapsed, note })
+    Event::Ended(AttemptEnd { id, attempt: AttemptNo(0), outcome, complete, elapsed, note, begun: false })
 }
 
 /// A server that cannot be reached is left to its successors but for a trickle, and taken back when it serves.
--- a/tests/embed.rs
+++ b/tests/embed.rs
@@ -51,6 +51,7 @@
                 complete: true,
                 elapsed: Micros::from_millis(12),
                 note: Some(CacheNote::Hit),
+                begun: false,
             }),
         );
     }
@@ -115,6 +116,7 @@
                     complete: false,
                     elapsed: Micros::from_millis(2),
                     note: None,
+                    begun: false,
                 }),
             );
         }
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -164,7 +164,7 @@
         case.over |= ends;
         let (complete, elapsed) = (case.over, self.now.since(case.sent[out].at));
         let attempt = AttemptNo(out as u32);
-        self.event(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note }));
+        self.event(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun: false }));
     }
 
     fn list(&mut self, kind: usize, states: &[(usize, usize, u64, u32)]) {
@@ -224,6 +224,7 @@
                     complete: false,
                     elapsed: ms(1),
                     note: None,
+                    begun: false,
                 }));
             }
             Step::Gone(nth) => {
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -14,6 +14,8 @@
     assert_eq!(client.answer().unwrap(), "+PONG\r\n");
     client.write(&command(&["C.GET", "7f3a9c21e0b4d655", "9b1f", "c=read,t=acme,d=900,h=1200,size=7"]));
     assert_eq!(client.answer().unwrap().into_bytes(), value("s-a"));
+    // A connection is used again once it has stayed quiet for a moment.
+    std::thread::sleep(std::time::Duration::from_millis(100));
     client.write(&command(&["C.SET", "7f3a9c21e0b4d655", "9b20", "c=put,t=acme,d=900,k=5c0f", "answers"]));
     assert_eq!(client.answer().unwrap().into_bytes(), value("s-a"));
     let commands = server.commands();
@@ -189,3 +191,129 @@
     assert!(client.ask("read", "00000000000000cc").contains("right"));
     assert!(client.ask("read", "00000000000000dd").contains("s-a"));
 }
+
+/// Answers that are none: each may have run, so that a request that must never run twice fails. It fails soon though
+/// the cache server leaves the connection open, and nothing is written to that connection again.
+#[test]
+fn spoilt_answers_fail_soon_and_end_their_connection() {
+    let says = |text: &str| Does::Says(text.as_bytes().to_vec());
+    let kinds = [
+        ("a simple string", says("+x\r\n")),
+        ("an integer", says(":1\r\n")),
+        ("a bulk string", says("$3\r\nabc\r\n")),
+        ("a null array", says("*-1\r\n")),
+        ("an array of two", says("*2\r\n$1\r\nv\r\n$3\r\nhit\r\n")),
+        ("an array of four", says("*4\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n$-1\r\n")),
+        ("a null value", says("*3\r\n$-1\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("an integer value", says("*3\r\n:7\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("an array within", says("*3\r\n*1\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("noise on how it went", says("*3\r\n$1\r\nv\r\n$3\r\n\u{1}\u{2}\u{3}\r\n$-1\r\n")),
+        ("a length that is short", says("*3\r\n$2\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("a length that is long", says("*3\r\n$50\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("a length with a sign", says("*3\r\n$+1\r\nv\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("a negative length", says("*3\r\n$-2\r\nv\r\n$3\r\nhit\r\n$-1\r\n")),
+        ("a length past all bounds", says("*3\r\n$99999999999999999999999\r\n")),
+        ("another error", says("-SYNTAX no\r\n")),
+        ("an error with noise", says("-ERR \u{1}\u{2}\r\n")),
+        ("half an answer", says("*3\r\n$5\r\nva")),
+        ("half a header", says("*")),
+        ("noise", Does::Says(vec![0xFF; 300])),
+        ("a line without end", Does::SaysWithoutEnd(b"-ERR ".to_vec(), vec![b'x'; 1_000])),
+        ("3 GB", Does::SaysWithoutEnd(b"*3\r\n$3221225472\r\n".to_vec(), vec![b'v'; 65_536])),
+    ];
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    for (count, (what, does)) in kinds.into_iter().enumerate() {
+        server.does("00000000000000aa", does);
+        let start = Instant::now();
+        let answer = client.ask("once", "00000000000000aa");
+        assert!(answer.starts_with("-ERR"), "{what}: {answer}");
+        assert!(start.elapsed().as_millis() < 3_000, "{what}: {:?}", start.elapsed());
+        wait_until(what, || server.connections().1 == count + 1);
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"), "{what}: the next is served");
+    }
+}
+
+#[test]
+fn a_read_that_was_answered_with_noise_is_served_elsewhere() {
+    let key = "7f3a9c21e0b4d655";
+    let (owner, other, router, _discovery) = pair_for(key);
+    owner.usually(Does::Says(b"what?\r\n".to_vec()));
+    assert!(router.client().ask("read", key).contains(&other.name));
+}
+
+/// A value that is whole is served, whatever comes behind it; its connection carries nothing further.
+#[test]
+fn a_good_answer_with_more_than_belongs_to_it_is_served() {
+    let good = "*3\r\n$5\r\nright\r\n$3\r\nhit\r\n";
+    let kinds = [
+        ("a second copy", format!("{good}$-1\r\n{good}$-1\r\n")),
+        ("noise behind", format!("{good}$-1\r\n\u{1}\u{2}\u{3}")),
+        ("a report of noise", format!("{good}\u{1}\u{2}\u{3}\r\n")),
+        ("an unprintable report", format!("{good}$3\r\n\u{1}\u{2}\u{3}\r\n")),
+        ("an integer for a report", format!("{good}:7\r\n")),
+        ("a report past all bounds", format!("{good}$99999\r\n")),
+        ("a report that is too long", format!("{good}$3\r\nutil=0.61\r\n")),
+        ("half a report", format!("{good}$30\r\nutil=0.61\r\n")),
+        ("no report", good.to_string()),
+    ];
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    for (count, (what, bytes)) in kinds.into_iter().enumerate() {
+        server.does("00000000000000aa", Does::Says(bytes.into_bytes()));
+        let answer = client.ask("once", "00000000000000aa");
+        assert_eq!(answer, format!("{good}$-1\r\n"), "{what}");
+        wait_until(what, || server.connections().1 == count + 1);
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"), "{what}: the next is served");
+    }
+}
+
+/// Guards against a second copy that comes when the connection is already back in the pool: the next request, which
+/// follows at once, must not get it.
+#[test]
+fn a_second_copy_that_comes_later_answers_nobody() {
+    let server = Server::start("s-a");
+    server.does("00000000000000aa", Does::SaysThen(value("first"), 3, value("first")));
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    // A fake that slept for longer than it should proves nothing either way.
+    let in_time = || server.gaps().iter().filter(|gap| gap.as_millis() < 5).count();
+    wait_until("copies in time", || {
+        let before = (in_time(), server.gaps().len());
+        assert!(client.ask("read", "00000000000000aa").contains("first"));
+        let next = client.ask("read", "00000000000000bb");
+        wait_until("the copy is out", || server.gaps().len() > before.1);
+        if in_time() == before.0 {
+            // Whatever is on its way on that connection goes with it.
+            let came = server.connections().0;
+            server.end_connections();
+            wait_until("all have ended", || server.connections() == (came, came));
+        } else {
+            assert!(next.contains("s-a"), "{next}");
+        }
+        in_time() >= 20
+    });
+}
+
+/// What a cache server spoils tells nothing of idle connections: the others are not closed for it.
+#[test]
+fn a_spoilt_answer_costs_no_other_connection() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    server.does("00000000000000aa", Does::Says(b"what?\r\n".to_vec()));
+    for _ in 0..2 {
+        // The connection that it comes on had been idle.
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        assert!(client.ask("once", "00000000000000aa").starts_with("-ERR"));
+    }
+    let before = server.connections().0;
+    for _ in 0..10 {
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    assert!(server.connections().0 <= before + 1, "{} connections more", server.connections().0 - before);
+}
