What fails within a second of its last use is not laid to idle connections

In the module one Broken, or three silences, on a server whose connections were idle for any length make all connections suspect that were idle for half as long, down to a few ms, for 20 s, and each further one extends that. The new test over sockets breaks a connection 50 ms after its last use: 10 connections for 10 requests without the change. Ruled out: resets of new connections by the servers (36), the pool's own limits (113 at once of 104 a router). To blame: balance.rs learn_connection(): no lower bound on `idle` nor on `stale`. Change: LEAST_IDLE, 1 s; what fails sooner after its last use says nothing of idleness.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -48,6 +48,9 @@
 const PATIENCE: f64 = 0.6;
 /// Silent idle connections, less those that answered, after which silence is laid to being idle.
 const DOUBT: u32 = 3;
+/// What drops idle connections unseen (a firewall, a peer's own limit) waits this long at least: what fails
+/// sooner after its last use failed for another reason.
+const LEAST_IDLE: Micros = Micros::from_millis(1_000);
 /// How long connections idle for half as long as one that failed are closed before use.
 const STALE_TIME: Micros = Micros::from_millis(20_000);
 /// A further attempt needs this share of the aim to be of use; a held request looks for servers as often.
@@ -467,7 +470,7 @@
     /// A broken idle connection is proof; silence has other causes too: it takes more of it than of answers.
     /// What breaks once an answer has begun was spoilt by the server, on a connection that was well.
     fn learn_connection(&mut self, idle: Option<Micros>, end: &AttemptEnd) {
-        let Some(idle) = idle else { return };
+        let Some(idle) = idle.filter(|&idle| idle >= LEAST_IDLE) else { return };
         self.doubt = match end.outcome {
             Outcome::TimedOut if !end.begun => (self.doubt + 1).min(DOUBT),
             Outcome::Broken if !end.begun => DOUBT,
@@ -475,7 +478,7 @@
         };
         if self.doubt == DOUBT {
             let known = if self.now < self.stale_until { self.stale } else { Micros::MAX };
-            self.stale = known.min(idle.scaled(CUT));
+            self.stale = known.min(idle.scaled(CUT).max(LEAST_IDLE));
             self.stale_until = self.now.plus(STALE_TIME);
         }
     }
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -317,3 +317,23 @@
     }
     assert!(server.connections().0 <= before + 1, "{} connections more", server.connections().0 - before);
 }
+
+/// A connection that breaks a moment after its last use was not dropped for being idle: the others are used on.
+#[test]
+fn a_connection_that_breaks_in_use_costs_no_other_connection() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    server.does("00000000000000aa", Does::SaysAndEnds(Vec::new()));
+    for _ in 0..2 {
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+        assert!(client.ask("once", "00000000000000aa").starts_with("-ERR"));
+    }
+    let before = server.connections().0;
+    for _ in 0..10 {
+        assert!(client.ask("once", "00000000000000bb").contains("s-a"));
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    assert!(server.connections().0 <= before + 1, "{} connections more", server.connections().0 - before);
+}
