A silent server is left to its successors; a passed-over home is better than none

Checked: over sockets a server that reads and never answers keeps its arc (new test, each of its requests waits out its time); its time-outs count against the origin where the key is not known to be kept there, and that limit then refuses requests for other servers. The probe for the refusals of a test with two servers: a key popular enough for a second home was refused when only its first was fit. To blame: balance.rs learn_load() (`hung` blames the origin), choose() (nothing leaves out a server that says nothing; `passed_on` may pass the only one that is fit). Change: two attempts in a row without a word, or one that needs no fetch without a word for an aim, make a server silent: it is sent a trial each four aims, which goes on elsewhere while that helps. Any word ends that.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -53,6 +53,10 @@
 const LEAST_IDLE: Micros = Micros::from_millis(1_000);
 /// How long connections idle for half as long as one that failed are closed before use.
 const STALE_TIME: Micros = Micros::from_millis(20_000);
+/// Attempts in a row without a word from a server after which it counts as silent: one may be lost anywhere.
+const SILENT: u32 = 2;
+/// A silent server gets one request in this many of the shortest aims, to find out when it recovers.
+const TRIAL_GAP: f64 = 4.0;
 /// A further attempt needs this share of the aim to be of use; a held request looks for servers as often.
 const LEAST_TIME: f64 = 0.2;
 /// A hot key is spread over this many times the capacity it asks for: its homes have their usual work too.
@@ -224,6 +228,13 @@
         self.ready = self.ring.len() / (4 * DIGESTS as usize);
     }
 
+    /// A server that hangs or vanished says nothing at all, not even to those that need no fetch; a slow
+    /// origin or a queue lets some answers through. It is left to its successors but for a trial now and then.
+    fn is_silent(&self, server: &Server) -> bool {
+        let waits = |since: Micros| server.load.in_flight > 0 && self.now.since(since) > self.shortest_aim;
+        server.unheard >= SILENT || server.waiting_since.is_some_and(waits)
+    }
+
     /// The ring owner of a place, then the distinct successors clockwise; the first that is allowed.
     fn first_candidate(&self, place: u32, mut allowed: impl FnMut(usize) -> bool) -> Option<usize> {
         let start = self.ring.partition_point(|&(point, _)| point < place);
@@ -344,7 +355,8 @@
         let part = |s: &Server| s.warmth(now, rules) * size(s).min(1.0);
         let most = caches().map(part).fold(0.0, f64::max);
         let free = |index: usize| !held.ask.write && self.knows(held.place, index);
-        let (mut first, mut paid) = (true, false);
+        let trial_gap = self.shortest_aim.scaled(TRIAL_GAP);
+        let (mut first, mut paid, mut passed) = (true, false, None);
         // A write needs the origin wherever it runs, so that going elsewhere costs nothing.
         let spill = held.ask.write || self.retry_tokens >= 1.0;
         let fetch = aside || self.may_fetch(stretch, chance);
@@ -359,11 +371,14 @@
             if held.attempts.iter().any(|a| a.server == index)
                 || held.slice * most > part(server)
                 || (server.warmth(now, rules) < 1.0 && !self.has_budget(server))
+                || (self.is_silent(server) && now.since(server.last_sent) < trial_gap)
             {
                 return false;
             }
             if first && passed_on >= size(server) && !held.ask.write {
                 passed_on -= size(server);
+                let fit = self.has_place(server, stretch * server.capacity(now, rules));
+                passed = passed.or(Some(index).filter(|_| fit && (free(index) || fetch)));
                 return false;
             }
             // The first that is fit keeps the key; past it a fetch is paid for, unless known there.
@@ -373,7 +388,8 @@
                 && (free(index) || (fetch && (near || spill)))
         });
         self.retry_tokens -= if found.is_some() && paid { 1.0 } else { 0.0 };
-        found
+        // Of those further homes none may be fit: then an earlier one is better than none.
+        found.or(passed)
     }
 
     /// What is not known to be kept is a fetch as often as such requests missed lately: one router of many
@@ -446,6 +462,9 @@
         self.servers[index].last_sent = self.now;
         self.servers[index].due = 1.0;
         let server = self.servers[index].member.server.clone();
+        if !fetch && self.servers[index].waiting_since.is_none() {
+            self.servers[index].waiting_since = Some(self.now);
+        }
         let timeout = self.patience(held, index);
         self.out.push(Action::Send { id: held.ask.id, server, timeout });
         true
@@ -490,7 +509,7 @@
         let (class, tried) = (self.class(held), held.attempts.len() as u32);
         let left = held.came.plus(class.aim).since(self.now);
         let part = left.scaled(PATIENCE);
-        let further = class.late_worth == 0.0
+        let further = (class.late_worth == 0.0 || self.is_silent(&self.servers[index]))
             && class.effect != Effect::Unsafe
             && tried < self.settings.limits.max_attempts
             && self.retry_tokens >= 1.0
@@ -547,6 +566,7 @@
             self.servers[index].load.in_flight -= 1;
             self.fetches.in_flight -= u32::from(fetch);
             self.close_drained(index);
+            self.learn_silence(index, &end);
             self.learn_load(index, fetch, &end, aim);
             // What an origin answers is kept where the request missed.
             let home = held.attempts.iter().rev().map(|a| a.server).find(|&i| !self.servers[i].is_origin);
@@ -595,6 +615,19 @@
         }
     }
 
+    /// Any word shows that a server is there. No word shows nothing where no attempt was written.
+    fn learn_silence(&mut self, index: usize, end: &AttemptEnd) {
+        let server = &mut self.servers[index];
+        match end.outcome {
+            Outcome::Cancelled | Outcome::Void => {}
+            // What had hardly any time tells nothing.
+            Outcome::TimedOut if !end.begun && end.elapsed < self.shortest_aim.scaled(SLOW_SHARE) => {}
+            Outcome::TimedOut if !end.begun => server.unheard = server.unheard.saturating_add(1),
+            Outcome::Unreachable => server.unheard = server.unheard.saturating_add(1),
+            _ => (server.unheard, server.waiting_since) = (0, None),
+        }
+    }
+
     /// How long hits take tells of the server; what fetches take beyond that, or a failure, of the origin.
     fn learn_load(&mut self, index: usize, fetch: bool, end: &AttemptEnd, aim: Micros) {
         // Where routers are many, each sees too little of a server to learn in time.
@@ -605,7 +638,8 @@
         let (half, beyond) = (aim.scaled(SLOW_SHARE), end.elapsed.since(server.usual));
         // What hangs on a fetch is no server's fault; where little is seen, fetches must have failed first.
         let trusted = if little { 1.0 - CUT } else { self.fetches.first };
-        let hung = self.fetches.limit < trusted || (fetch && !little);
+        let silent = server.unheard >= SILENT;
+        let hung = !silent && (self.fetches.limit < trusted || (fetch && !little));
         let (served, late) = (end.outcome == Outcome::Success, end.outcome == Outcome::TimedOut);
         let hit = served && !missed && !server.is_origin;
         // A quick miss frees a throttled server too: most answers may be misses.
--- a/src/state.rs
+++ b/src/state.rs
@@ -78,6 +78,10 @@
     pub last_sent: Micros,
     /// When something was last sent there or came back.
     pub last_used: Micros,
+    /// Attempts in a row that ended with no word from it.
+    pub unheard: u32,
+    /// Since its last word: when the first attempt was sent that needed no fetch, if one was.
+    pub waiting_since: Option<Micros>,
     /// While it is cold: how much of a request its budget must cover before the next goes there.
     pub due: f64,
 }
@@ -95,6 +99,8 @@
             down_at: Micros(0),
             last_sent: Micros(0),
             last_used: Micros(0),
+            unheard: 0,
+            waiting_since: None,
             due: 1.0,
         }
     }
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -337,3 +337,34 @@
     }
     assert!(server.connections().0 <= before + 1, "{} connections more", server.connections().0 - before);
 }
+
+/// A server that hangs keeps neither its arc nor the requests of others waiting; one that recovers gets its arc back.
+#[test]
+fn a_silent_server_is_left_to_its_successor_until_it_recovers() {
+    let key = "7f3a9c21e0b4d655";
+    let (owner, other, router, _discovery) = pair_for(key);
+    let mut client = router.client();
+    owner.usually(Does::IsSilent);
+    for _ in 0..2 {
+        client.send("read", key, 400);
+        assert!(client.answer().unwrap().starts_with('-'));
+    }
+    let before = owner.commands().len();
+    // Ever new keys, so that none is so popular that it has further homes.
+    let mut keys = (1_u64..).map(|number| format!("{:016x}", number.wrapping_mul(0x9E37_79B9_7F4A_7C15)));
+    for key in keys.by_ref().take(20) {
+        client.send("read", &key, 400);
+        assert!(client.answer().unwrap().contains(&other.name));
+    }
+    assert_eq!(owner.commands().len(), before);
+    // One that is tried there now and then goes on to the other when it gets no answer.
+    wait_until("a trial", || {
+        let answer = client.ask("read", &keys.next().unwrap());
+        assert!(answer.contains(&other.name), "{answer}");
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        owner.commands().len() > before
+    });
+    owner.usually(Does::Serves);
+    let mut again = || client.ask("read", &keys.next().unwrap()).contains(&owner.name);
+    wait_until("its arc is its own again", || again() && again() && again());
+}
