--- a/src/balance.rs
+++ b/src/balance.rs
@@ -229,7 +229,7 @@
     }
 
     /// A server that hangs or vanished says nothing at all, not even to those that need no fetch; a slow
-    /// origin or a queue lets some answers through. It is left to its successors but for a trial now and then.
+    /// origin or a queue lets some answers through. Its successors have its arc but for a trial now and then.
     fn is_silent(&self, server: &Server) -> bool {
         let waits = |since: Micros| server.load.in_flight > 0 && self.now.since(since) > self.shortest_aim;
         server.unheard >= SILENT || server.waiting_since.is_some_and(waits)
--- a/src/bin/asterport/clients.rs
+++ b/src/bin/asterport/clients.rs
@@ -1,7 +1,7 @@
 //! Clients: the listener, commands in, and answers out in the order of the commands.
 
 use crate::driver::{Answer, Ask, Driver};
-use crate::resp::{BytesFrame, Command, READ_SIZE, RespError, next_frame};
+use crate::resp::{Command, CommandReader, READ_SIZE, RespError};
 use bytes::{Bytes, BytesMut};
 use md5::{Digest, Md5};
 use onyxpick::params::Names;
@@ -15,10 +15,25 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::{Duration, Instant, timeout};
+use tokio::time::{Duration, Instant, sleep_until, timeout};
 
 /// Commands on one connection that wait for their answers; past this its next ones stay unread.
 const PIPELINE: usize = 64;
+/// A client that has sent no whole command for this long since it connected, or since a command's first byte, is
+/// closed: it takes the place of others.
+const COMMAND_LIMIT: Duration = Duration::from_secs(2);
+/// One that asks nothing more for this long may come anew; many never do and keep their connection for good.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// A client that has said nothing so soon after it connected may be about to.
+const YOUNG: Duration = Duration::from_millis(500);
+/// After an error that ends a connection: how much is read on and for how long, so that the error is not lost with
+/// what the client still sends.
+const DRAIN_BYTES: usize = 256 * 1024;
+const DRAIN_LIMIT: Duration = Duration::from_millis(500);
+/// Commands that are not for a router, as libraries send them at the start, before a connection is closed for them.
+const UNKNOWN_COMMANDS: u32 = 8;
+/// Bytes of all large commands together, whole or not, that wait for their answers.
+const MAX_LARGE: usize = 8 * 1024 * 1024;
 /// A client that takes none of its answer for this long is given up.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 /// How long to leave the listener alone after it failed, out of descriptors for instance.
@@ -27,13 +42,26 @@
 pub struct Clients {
     driver: Rc<Driver>,
     names: Rc<Names>,
-    /// By class: how long a client waits that does not say.
-    deadlines: Vec<Micros>,
+    classes: Vec<Class>,
     most: usize,
     open: RefCell<HashMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     closing: Cell<bool>,
     ended: Notify,
+    /// Bytes of large commands, see [`MAX_LARGE`].
+    large: Rc<Cell<usize>>,
+}
+
+/// Room for a large command, given back with its answer.
+struct Large {
+    of: Rc<Cell<usize>>,
+    bytes: usize,
+}
+
+impl Drop for Large {
+    fn drop(&mut self) {
+        self.of.set(self.of.get() - self.bytes);
+    }
 }
 
 /// What a connection's two halves and the listener share.
@@ -43,15 +71,34 @@
     changed: Notify,
     /// Answers owed and not yet written.
     owed: Cell<usize>,
-    /// A command has begun to arrive.
-    partial: Cell<bool>,
+    /// Has sent a whole command.
+    has_asked: Cell<bool>,
+    /// When a command began to arrive that is not whole yet.
+    begun: Cell<Option<Instant>>,
+    /// Commands so far that are not for a router.
+    unknown: Cell<u32>,
+    /// When it connected or was last read from or written to.
     used: Cell<Instant>,
     waiting: RefCell<HashSet<RequestId>>,
+    /// Its place is wanted for another: whatever it has sent of a command is not waited for.
+    evicted: Cell<bool>,
 }
 
 enum Owed {
     Now(Bytes),
-    Later(RequestId, oneshot::Receiver<Answer>),
+    /// After this one the connection ends: what follows can't be told apart, or is not worth reading.
+    Last(Bytes),
+    Later(RequestId, oneshot::Receiver<Answer>, Option<Large>),
+}
+
+/// Why no more is read from a client.
+enum End {
+    /// It has left.
+    Left,
+    /// What is owed is to go out, and then the connection is closed.
+    Done,
+    /// The same, and the last that is owed is an error about what the client may still be sending.
+    Error,
 }
 
 /// Binds so that a restart at the same address succeeds at once.
@@ -63,33 +110,38 @@
 }
 
 impl Clients {
-    pub fn new(driver: Rc<Driver>, names: Rc<Names>, deadlines: Vec<Micros>, most: usize) -> Rc<Clients> {
+    pub fn new(driver: Rc<Driver>, names: Rc<Names>, classes: Vec<Class>, most: usize) -> Rc<Clients> {
         Rc::new(Clients {
             driver,
             names,
-            deadlines,
+            classes,
             most,
             open: RefCell::default(),
             last: Cell::new(0),
             closing: Cell::new(false),
             ended: Notify::new(),
+            large: Rc::default(),
         })
     }
 
-    /// Accepts clients, for as long as it is polled.
+    /// Accepts clients, for as long as it is polled. Past the limit the next ones wait until there is room.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
         let mut failing = false;
         loop {
             match listener.accept().await {
                 Ok((stream, _)) => {
                     failing = false;
+                    while self.open.borrow().len() >= self.most {
+                        self.make_room();
+                        let _ = timeout(ACCEPT_PAUSE, self.ended.notified()).await;
+                    }
                     self.start(stream);
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
                         eprintln!("asterport: accepting a client: {error}");
                     }
-                    self.close_longest_idle();
+                    self.make_room();
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
             }
@@ -97,18 +149,18 @@
     }
 
     fn start(self: &Rc<Self>, stream: TcpStream) {
-        if self.open.borrow().len() >= self.most {
-            self.close_longest_idle();
-        }
         let id = self.last.get() + 1;
         self.last.set(id);
         let client = Rc::new(Client {
             closing: Cell::new(self.closing.get()),
             changed: Notify::new(),
             owed: Cell::new(0),
-            partial: Cell::new(false),
+            has_asked: Cell::new(false),
+            begun: Cell::new(None),
+            unknown: Cell::new(0),
             used: Cell::new(Instant::now()),
             waiting: RefCell::default(),
+            evicted: Cell::new(false),
         });
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
@@ -122,12 +174,25 @@
         });
     }
 
-    /// Makes room for a client that waits by closing one that does not.
-    fn close_longest_idle(&self) {
+    /// Makes room for another client by closing one that is owed nothing: one that had its time to ask and did not,
+    /// else one that has not asked for long, else whoever came or asked first.
+    fn make_room(&self) {
+        let rank = |client: &Client| {
+            let since = client.begun.get().unwrap_or(client.used.get());
+            let silent = !client.has_asked.get() || client.begun.get().is_some();
+            let class = match (silent, since.elapsed()) {
+                (true, age) if age > YOUNG => 0,
+                (false, age) if age > COMMAND_LIMIT => 1,
+                (true, _) => 2,
+                (false, _) => 3,
+            };
+            (class, since)
+        };
         let open = self.open.borrow();
-        let idle = open.values().filter(|c| c.owed.get() == 0 && !c.partial.get() && !c.closing.get());
-        if let Some(client) = idle.min_by_key(|c| c.used.get()) {
-            client.close();
+        let closing = open.values().any(|client| client.closing.get() && client.owed.get() == 0);
+        let idle = open.values().filter(|client| client.owed.get() == 0 && !client.closing.get());
+        if let Some(client) = idle.min_by_key(|client| rank(client)).filter(|_| !closing) {
+            client.evict();
         }
     }
 
@@ -144,80 +209,134 @@
         if stream.set_nodelay(true).is_err() {
             return;
         }
-        let (reader, writer) = stream.split();
-        let (owed, answers) = mpsc::channel(PIPELINE);
-        let writing = write_answers(writer, answers, client);
-        tokio::pin!(writing);
-        tokio::select! {
-            // The client has left, or its connection is of no more use: what it waited for is not owed.
-            left = self.read_commands(reader, owed, client) => if left { return },
-            // It takes no answers.
-            () = &mut writing => return,
+        let end = {
+            let (reader, writer) = stream.split();
+            let (owed, answers) = mpsc::channel(PIPELINE);
+            let writing = write_answers(writer, answers, client);
+            tokio::pin!(writing);
+            let end = tokio::select! {
+                // What it waited for is not owed if it has left.
+                end = self.read_commands(reader, owed, client) => end,
+                // It takes no answers.
+                () = &mut writing => End::Left,
+            };
+            if matches!(end, End::Left) {
+                return;
+            }
+            writing.await;
+            end
+        };
+        if matches!(end, End::Error) {
+            drain(stream).await;
         }
-        writing.await;
     }
 
-    /// Reads commands until the client leaves (true) or until no more are to be read and the answers that are owed
-    /// can go out (false).
+    /// Reads commands until no more are to be read.
     async fn read_commands(
         &self,
-        mut reader: ReadHalf<'_>,
+        mut stream: ReadHalf<'_>,
         owed: mpsc::Sender<Owed>,
         client: &Client,
-    ) -> bool {
+    ) -> End {
         let mut buffer = BytesMut::new();
+        let mut reader = CommandReader::default();
+        let mut large = None;
         loop {
             loop {
-                let next = match next_frame(&mut buffer) {
-                    Ok(Some((frame, _))) => self.take(frame, client),
-                    Ok(None) => break,
-                    Err(error) => {
-                        let text = match error {
-                            RespError::TooLarge => "-ERR command too large\r\n",
-                            RespError::Malformed => "-ERR protocol error\r\n",
-                        };
-                        // What follows cannot be told apart: the connection ends after this answer.
-                        client.owed.set(client.owed.get() + 1);
-                        return owed.send(Owed::Now(Bytes::from_static(text.as_bytes()))).await.is_err();
-                    }
+                let next = match reader.next(&mut buffer) {
+                    Ok(Some(words)) => self.take(words, client, &mut large),
+                    Ok(None) => match self.room_for(reader.missing(&buffer), &mut large) {
+                        Ok(()) => break,
+                        Err(text) => Owed::Last(Bytes::from_static(text)),
+                    },
+                    Err(RespError::TooLarge) => Owed::Last(Bytes::from_static(b"-ERR command too large\r\n")),
+                    Err(RespError::Malformed) => Owed::Last(Bytes::from_static(b"-ERR protocol error\r\n")),
                 };
+                client.has_asked.set(true);
+                client.begun.set(None);
                 client.owed.set(client.owed.get() + 1);
+                let is_last = matches!(next, Owed::Last(_));
                 if owed.send(next).await.is_err() {
-                    return true;
+                    return End::Left;
+                }
+                if is_last {
+                    client.closing.set(true);
+                    return End::Error;
                 }
             }
-            client.partial.set(!buffer.is_empty());
-            buffer.reserve(READ_SIZE);
+            if buffer.is_empty() {
+                // An idle client holds no buffer of the size of its last command.
+                buffer = BytesMut::new();
+            } else if client.begun.get().is_none() {
+                client.begun.set(Some(Instant::now()));
+            }
+            buffer.reserve(READ_SIZE.max(reader.missing(&buffer)));
             let may_close = client.closing.get() && client.owed.get() == 0 && buffer.is_empty();
+            let limit = match (client.begun.get(), client.has_asked.get()) {
+                (Some(begun), _) => Some(begun + COMMAND_LIMIT),
+                (None, false) => Some(client.used.get() + COMMAND_LIMIT),
+                (None, true) => (client.owed.get() == 0).then(|| client.used.get() + IDLE_LIMIT),
+            };
             tokio::select! {
                 biased;
                 // Reads first: a command that has arrived is served, also when the connection is to close.
-                read = reader.read_buf(&mut buffer) => match read {
-                    Ok(count) if count > 0 => client.used.set(Instant::now()),
-                    _ => return true,
+                read = stream.read_buf(&mut buffer) => match read {
+                    Ok(count) if count > 0 => {
+                        if client.has_asked.get() {
+                            client.used.set(Instant::now());
+                        }
+                    }
+                    _ => return End::Left,
                 },
-                () = std::future::ready(()), if may_close => return false,
+                () = std::future::ready(()), if may_close || client.evicted.get() => return End::Done,
+                () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => return End::Done,
                 () = client.changed.notified() => {}
             }
         }
     }
 
-    fn take(&self, frame: BytesFrame, client: &Client) -> Owed {
-        let error = |text: &str| Owed::Now(Bytes::from(format!("-{text}\r\n")));
-        let Some(words) = Command::words(frame) else { return error("ERR protocol error") };
-        let name = words[0].to_ascii_uppercase();
-        match &name[..] {
-            b"C.GET" | b"C.SET" => match Command::new(words).and_then(|command| self.ask(command)) {
-                Ok(ask) => {
-                    let (id, answer) = self.driver.request(ask);
-                    client.waiting.borrow_mut().insert(id);
-                    Owed::Later(id, answer)
+    /// Sees to the room for a command of which so much is missing.
+    fn room_for(&self, missing: usize, large: &mut Option<Large>) -> Result<(), &'static [u8]> {
+        if missing <= READ_SIZE || large.is_some() {
+            return Ok(());
+        }
+        let all = self.large.get() + missing;
+        if all > MAX_LARGE {
+            return Err(b"-ERR too many large commands\r\n");
+        }
+        self.large.set(all);
+        *large = Some(Large { of: self.large.clone(), bytes: missing });
+        Ok(())
+    }
+
+    fn take(&self, words: Vec<Bytes>, client: &Client, large: &mut Option<Large>) -> Owed {
+        let large = large.take();
+        let error = |text: &str| Bytes::from(format!("-{text}\r\n"));
+        match &words[0].to_ascii_uppercase()[..] {
+            b"C.GET" | b"C.SET" => {
+                match Command::new(words)
+                    .and_then(|command| self.ask(command))
+                    .map(|ask| self.driver.request(ask))
+                {
+                    Ok(Some((id, answer))) => {
+                        client.waiting.borrow_mut().insert(id);
+                        Owed::Later(id, answer, large)
+                    }
+                    Ok(None) => Owed::Last(error("ERR a request of this id is open")),
+                    Err(text) => Owed::Last(error(text)),
                 }
-                Err(text) => error(text),
-            },
+            }
             b"PING" => Owed::Now(Bytes::from_static(b"+PONG\r\n")),
             b"CLIENT" | b"SELECT" => Owed::Now(Bytes::from_static(b"+OK\r\n")),
-            _ => error("ERR unknown command"),
+            _ => {
+                client.unknown.set(client.unknown.get() + 1);
+                let text = error("ERR unknown command");
+                if !words[0].is_empty() && client.unknown.get() < UNKNOWN_COMMANDS {
+                    Owed::Now(text)
+                } else {
+                    Owed::Last(text)
+                }
+            }
         }
     }
 
@@ -225,16 +344,22 @@
         let among = |names: &[String], name: &str| names.iter().position(|n| n == name);
         let class = command.field("c").and_then(|name| among(&self.names.classes, name));
         let class = class.ok_or("ERR unknown class")?;
-        let wait = match command.field("d") {
-            Some(text) => Micros::from_millis(text.parse().map_err(|_| "ERR malformed fields")?),
-            None => self.deadlines[class],
+        // A client that says nothing, or more than its class allows, has the time of its class.
+        let wait = match command.number("d").transpose()? {
+            Some(0) => return Err("ERR no time left"),
+            Some(millis) => Micros::from_millis(millis).min(self.classes[class].deadline),
+            None => self.classes[class].deadline,
         };
+        if matches!(self.classes[class].effect, Effect::Keyed { .. }) && command.field("k").is_none() {
+            return Err("ERR a keyed class wants k");
+        }
+        let cost_hint = command.number("h").transpose()?.map(Micros);
         Ok(Ask {
             class: ClassId(class),
             tenant: command.field("t").and_then(|name| among(&self.names.tenants, name)).map(TenantId),
             key: key_number(command.key()),
             wait,
-            cost_hint: command.field("h").and_then(|text| text.parse().ok()).map(Micros),
+            cost_hint,
             retry: command.field("r") == Some("1"),
             command,
         })
@@ -242,12 +367,35 @@
 }
 
 impl Client {
+    fn evict(&self) {
+        self.evicted.set(true);
+        self.close();
+    }
+
     fn close(&self) {
         self.closing.set(true);
         self.changed.notify_one();
     }
 }
 
+/// Ends sending and reads on for a moment. Closed with bytes unread, a connection is reset, and what was last written
+/// to it may be lost with that.
+async fn drain(mut stream: TcpStream) {
+    let all = async {
+        let (mut left, mut bytes) = (DRAIN_BYTES, [0; READ_SIZE]);
+        stream.shutdown().await?;
+        while let count @ 1.. = stream.read(&mut bytes).await? {
+            left = left.saturating_sub(count);
+            if left == 0 {
+                break;
+            }
+        }
+        io::Result::Ok(())
+    };
+    // However it ends, the connection is closed now.
+    let _ = timeout(DRAIN_LIMIT, all).await;
+}
+
 /// A key as a number: its hex digits, or what its digest begins with; the same at every router.
 fn key_number(key: &[u8]) -> u64 {
     let digits = std::str::from_utf8(key).ok().filter(|text| text.len() == 16);
@@ -259,8 +407,8 @@
 async fn write_answers(mut writer: WriteHalf<'_>, mut answers: mpsc::Receiver<Owed>, client: &Client) {
     while let Some(owed) = answers.recv().await {
         let bytes = match owed {
-            Owed::Now(bytes) => bytes,
-            Owed::Later(id, answer) => {
+            Owed::Now(bytes) | Owed::Last(bytes) => bytes,
+            Owed::Later(id, answer, _large) => {
                 // The sender is never dropped without an answer; should it be, the client must not wait.
                 let answer = answer.await.unwrap_or(Answer::Failed);
                 client.waiting.borrow_mut().remove(&id);
--- a/src/bin/asterport/driver.rs
+++ b/src/bin/asterport/driver.rs
@@ -9,7 +9,7 @@
 use onyxpick::*;
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::sync::{Notify, oneshot};
@@ -80,6 +80,8 @@
 struct State {
     router: Router,
     open: HashMap<RequestId, Open>,
+    /// The clients' ids of the requests that wait for their answer.
+    named: HashSet<Bytes>,
     last_id: u32,
     events: VecDeque<Event>,
     /// An event is being handled: actions may bring further ones, which wait their turn.
@@ -101,6 +103,7 @@
         let state = State {
             router,
             open: HashMap::new(),
+            named: HashSet::new(),
             last_id: 0,
             events: VecDeque::new(),
             handling: false,
@@ -115,13 +118,16 @@
         })
     }
 
-    /// Takes a request; its one final answer comes on the receiver.
-    pub fn request(self: &Rc<Self>, ask: Ask) -> (RequestId, oneshot::Receiver<Answer>) {
+    /// Takes a request; its one final answer comes on the receiver. None if a request of that id waits already.
+    pub fn request(self: &Rc<Self>, ask: Ask) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (reply, answer) = oneshot::channel();
         let expires = self.clock.now().plus(ask.wait);
         let write = ask.command.is_write();
         let id = {
             let mut state = self.state.borrow_mut();
+            if !state.named.insert(ask.command.id().clone()) {
+                return None;
+            }
             state.last_id = state.last_id.wrapping_add(1);
             let id = RequestId(state.last_id);
             let command = Rc::new(ask.command);
@@ -138,13 +144,13 @@
             retry: ask.retry,
             write,
         }));
-        (id, answer)
+        Some((id, answer))
     }
 
     /// The client has left: nothing more is owed. Attempts that are out run on to their end.
     pub fn gone(self: &Rc<Self>, id: RequestId) {
-        let owed = self.state.borrow_mut().open.get_mut(&id).and_then(|open| open.reply.take());
-        if owed.is_some() {
+        let owed = take_reply(&mut self.state.borrow_mut(), id).is_some();
+        if owed {
             self.handle(Event::Gone { id });
             self.forget(id);
         }
@@ -280,14 +286,21 @@
     }
 }
 
+/// From here on the request waits for nothing more.
+fn take_reply(state: &mut State, id: RequestId) -> Option<oneshot::Sender<Answer>> {
+    let open = state.open.get_mut(&id)?;
+    let reply = open.reply.take()?;
+    state.named.remove(open.command.id());
+    Some(reply)
+}
+
 /// The one place where a request gets its final answer: the sender is gone after the first.
 fn answer(state: &mut State, id: RequestId, answer: Answer) {
-    let Some(open) = state.open.get_mut(&id) else { return };
-    if let Some(reply) = open.reply.take() {
+    if let Some(reply) = take_reply(state, id) {
         // The client may have left in this moment; its connection says so by itself.
         let _ = reply.send(answer);
     }
-    if open.is_over() {
+    if state.open.get(&id).is_some_and(Open::is_over) {
         state.open.remove(&id);
     }
 }
--- a/src/bin/asterport/main.rs
+++ b/src/bin/asterport/main.rs
@@ -167,8 +167,8 @@
         conn_idle: duration(settings.connection_idle.min(forever)),
         connections: most,
     };
-    let deadlines: Vec<Micros> = settings.classes.iter().map(|class| class.deadline).collect();
-    let longest = duration(deadlines.iter().copied().max().unwrap_or_default());
+    let classes = settings.classes.clone();
+    let longest = duration(classes.iter().map(|class| class.deadline).max().unwrap_or_default());
     let pushed = settings.discovery == Listing::Push;
     let router = Router::new(settings, seed).map_err(|e| e.to_string())?;
 
@@ -186,7 +186,7 @@
     spawn_local(reload(hangup, config.settings, discovery));
     spawn_local(driver.clone().run_timers());
     spawn_local(servers.retire_idle());
-    let clients = Clients::new(driver.clone(), names, deadlines, most);
+    let clients = Clients::new(driver.clone(), names, classes, most);
     tokio::select! {
         () = clients.accept(&listener) => {}
         _ = stop.recv() => {}
--- a/src/bin/asterport/resp.rs
+++ b/src/bin/asterport/resp.rs
@@ -2,20 +2,14 @@
 
 use bytes::{Bytes, BytesMut};
 use onyxpick::CacheNote;
-use redis_protocol::resp2::decode::decode_bytes_mut;
-pub use redis_protocol::resp2::types::BytesFrame;
 use std::fmt;
 use std::io::Write;
+use std::ops::Range;
 
 /// The largest value that the protocol allows.
 pub const MAX_VALUE: usize = 64 * 1024;
 /// Room for one read: the usual answer comes in one, and so does what a peer wrote behind it.
 pub const READ_SIZE: usize = 4 * 1024;
-/// The largest frame that is read at all: an oversized command is read whole and answered, within this bound.
-const MAX_FRAME: usize = 256 * 1024;
-/// The most items of an array; the longest command has five.
-const MAX_ITEMS: usize = 64;
-
 /// Bytes after which the rest of the connection cannot be understood.
 #[derive(Debug, PartialEq, Eq)]
 pub enum RespError {
@@ -32,67 +26,74 @@
     }
 }
 
-/// Takes the first frame off the buffer, with its bytes as they came; `None` while it is not whole.
-pub fn next_frame(buffer: &mut BytesMut) -> Result<Option<(BytesFrame, Bytes)>, RespError> {
-    if buffer.is_empty() || !is_whole(buffer)? {
-        return Ok(None);
-    }
-    match decode_bytes_mut(buffer) {
-        Ok(Some((frame, _, raw))) => Ok(Some((frame, raw))),
-        Ok(None) => Ok(None),
-        Err(_) => Err(RespError::Malformed),
-    }
+/// The most words of a command, and how long they may be: a name, then key, id, and names with values, then a value.
+/// Commands of other names get an error, and some words more are read for it.
+const MAX_WORDS: usize = 8;
+const MAX_NAME: usize = 32;
+const MAX_KEY: usize = 256;
+const MAX_ID: usize = 64;
+const MAX_FIELDS: usize = 1024;
+
+/// Reads one command after the other, and each byte of them about once however they come. What is too large is turned
+/// away by its header.
+#[derive(Debug, Default)]
+pub struct CommandReader {
+    words: usize,
+    /// Where each word that has been read whole lies.
+    found: Vec<Range<usize>>,
+    at: usize,
 }
 
-/// Guards the decoder, which goes down into arrays within arrays as deep as a peer likes and starts again from the
-/// first byte at each call: one level, bounded items and sizes, and only when all bytes are there.
-fn is_whole(buffer: &[u8]) -> Result<bool, RespError> {
-    let mut at = 0;
-    let mut left = 1;
-    let mut in_array = false;
-    while left > 0 {
-        let Some(length) = buffer[at..].windows(2).position(|w| w == b"\r\n") else {
-            return if buffer.len() > MAX_FRAME { Err(RespError::TooLarge) } else { Ok(false) };
-        };
-        let line = &buffer[at..at + length];
-        at += length + 2;
-        left -= 1;
-        let count = || {
-            let text = line.get(1..).and_then(|digits| std::str::from_utf8(digits).ok());
-            text.and_then(|digits| digits.parse::<i64>().ok()).ok_or(RespError::Malformed)
-        };
-        match line.first() {
-            Some(b'$') => match count()? {
-                -1 => {}
-                size => {
-                    let size = usize::try_from(size).map_err(|_| RespError::Malformed)?;
-                    if size > MAX_FRAME {
-                        return Err(RespError::TooLarge);
-                    }
-                    at += size + 2;
-                    if at > buffer.len() {
-                        return Ok(false);
-                    }
-                    if &buffer[at - 2..at] != b"\r\n" {
-                        return Err(RespError::Malformed);
-                    }
-                }
-            },
-            Some(b'*') if !in_array => {
-                in_array = true;
-                left = usize::try_from(count()?.max(0)).map_err(|_| RespError::Malformed)?;
-                if left > MAX_ITEMS {
-                    return Err(RespError::TooLarge);
-                }
+impl CommandReader {
+    /// The next command if it is whole, taken off the buffer.
+    pub fn next(&mut self, buffer: &mut BytesMut) -> Result<Option<Vec<Bytes>>, RespError> {
+        if self.words == 0 {
+            if buffer.is_empty() {
+                return Ok(None);
+            }
+            let Some((count, end)) = header(buffer, b'*')? else { return Ok(None) };
+            match count {
+                None | Some(0) => return Err(RespError::Malformed),
+                Some(count) if count > MAX_WORDS => return Err(RespError::TooLarge),
+                Some(count) => (self.words, self.at) = (count, end),
             }
-            Some(b'+' | b'-' | b':') => {}
-            _ => return Err(RespError::Malformed),
         }
-        if at > MAX_FRAME {
-            return Err(RespError::TooLarge);
+        while self.found.len() < self.words {
+            let most = self.most(buffer);
+            let Some((word, end)) = bulk(buffer, self.at, most)? else { return Ok(None) };
+            let word = word.ok_or(RespError::Malformed)?;
+            self.found.push(end - 2 - word.len()..end - 2);
+            self.at = end;
+        }
+        let bytes = buffer.split_to(self.at).freeze();
+        let words = self.found.drain(..).map(|range| bytes.slice(range)).collect();
+        (self.words, self.at) = (0, 0);
+        Ok(Some(words))
+    }
+
+    /// How long the next word may be.
+    fn most(&self, buffer: &[u8]) -> usize {
+        let name = self.found.first().map(|range| &buffer[range.clone()]);
+        let is_write = name.is_some_and(|name| name.eq_ignore_ascii_case(b"C.SET"));
+        match self.found.len() {
+            0 => MAX_NAME,
+            1 => MAX_KEY,
+            2 => MAX_ID,
+            3 => MAX_FIELDS,
+            4 if is_write => MAX_VALUE,
+            _ => MAX_ID,
+        }
+    }
+
+    /// How many bytes more the word that is on its way needs, as far as that is known.
+    pub fn missing(&self, buffer: &[u8]) -> usize {
+        match buffer.get(self.at..).map(|rest| header(rest, b'$')) {
+            Some(Ok(Some((Some(size), length)))) if self.words > 0 => {
+                (self.at + length + size.min(MAX_VALUE) + 2).saturating_sub(buffer.len())
+            }
+            _ => 0,
         }
     }
-    Ok(true)
 }
 
 /// What a cache server said: the rows of the table of outcomes, and nothing else.
@@ -251,27 +252,37 @@
 }
 
 impl Command {
-    /// The words of a command: an array of bulk strings.
-    pub fn words(frame: BytesFrame) -> Option<Vec<Bytes>> {
-        let BytesFrame::Array(items) = frame else { return None };
-        let word = |item| if let BytesFrame::BulkString(word) = item { Some(word) } else { None };
-        let words: Option<Vec<Bytes>> = items.into_iter().map(word).collect();
-        words.filter(|words| !words.is_empty())
-    }
-
-    /// A command that has its key, its id and its list of names and values, and its value if it is a write.
+    /// A command that a cache server can use: its key, its id and its list of names and values, each once, and its
+    /// value if it is a write.
     pub fn new(words: Vec<Bytes>) -> Result<Command, &'static str> {
         let write = words[0].eq_ignore_ascii_case(b"C.SET");
         if words.len() != 4 + usize::from(write) {
             return Err("ERR wrong number of arguments");
         }
-        if words.iter().any(|word| word.len() > MAX_VALUE) {
-            return Err("ERR value too large");
+        let is_plain = |word: &Bytes| !word.is_empty() && word.iter().all(u8::is_ascii_graphic);
+        if !words[1..4].iter().all(is_plain) {
+            return Err("ERR malformed arguments");
         }
-        if std::str::from_utf8(&words[3]).is_err() {
-            return Err("ERR malformed fields");
+        let command = Command { words };
+        let mut names: Vec<&str> = Vec::new();
+        for pair in command.fields().split(',') {
+            match pair.split_once('=') {
+                Some((name, value)) if !name.is_empty() && !value.is_empty() && !names.contains(&name) => {
+                    names.push(name);
+                }
+                _ => return Err("ERR malformed fields"),
+            }
         }
-        Ok(Command { words })
+        Ok(command)
+    }
+
+    fn fields(&self) -> &str {
+        // Checked to be of printable ASCII.
+        std::str::from_utf8(&self.words[3]).unwrap_or_default()
+    }
+
+    pub fn id(&self) -> &Bytes {
+        &self.words[2]
     }
 
     pub fn is_write(&self) -> bool {
@@ -284,18 +295,22 @@
 
     /// The value of a name in the list of names and values.
     pub fn field(&self, name: &str) -> Option<&str> {
-        let fields = std::str::from_utf8(&self.words[3]).ok()?;
-        fields
+        self.fields()
             .split(',')
             .filter_map(|pair| pair.split_once('='))
             .find(|pair| pair.0 == name)
-            .map(|pair| pair.1)
+            .map(|p| p.1)
+    }
+
+    /// The same as a number, of digits alone; what is more than fits is the largest.
+    pub fn number(&self, name: &str) -> Option<Result<u64, &'static str>> {
+        self.field(name).map(|text| digits_of(text.as_bytes()).ok_or("ERR malformed number"))
     }
 
     /// The command for a cache server: unchanged but for `d`, how long the router will wait, in milliseconds.
     pub fn encode(&self, wait_ms: u64) -> Vec<u8> {
-        let fields = std::str::from_utf8(&self.words[3]).unwrap_or("");
-        let fields: Vec<String> = fields
+        let fields: Vec<String> = self
+            .fields()
             .split(',')
             .map(|pair| if pair.starts_with("d=") { format!("d={wait_ms}") } else { pair.to_string() })
             .collect();
@@ -317,31 +332,143 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use proptest::collection::vec;
+    use proptest::prelude::*;
+    use redis_protocol::resp2::decode::decode_bytes;
+    use redis_protocol::resp2::types::BytesFrame;
 
-    #[test]
-    fn a_frame_is_taken_only_when_whole_and_leaves_what_follows() {
-        let text = b"*2\r\n$3\r\nabc\r\n$-1\r\n+PONG\r\n";
-        for cut in 1..20 {
-            let mut buffer = BytesMut::from(&text[..cut.min(17)]);
-            assert!(next_frame(&mut buffer).unwrap().is_none(), "cut at {cut}");
+    fn command_of(text: &[u8]) -> Result<Option<Vec<Bytes>>, RespError> {
+        CommandReader::default().next(&mut BytesMut::from(text))
+    }
+
+    fn reply_of(text: &[u8]) -> Result<Option<Reply>, RespError> {
+        ReplyReader::default().next(&mut BytesMut::from(text))
+    }
+
+    fn framed(words: &[Vec<u8>]) -> Vec<u8> {
+        let mut out = format!("*{}\r\n", words.len()).into_bytes();
+        for word in words {
+            out.extend_from_slice(format!("${}\r\n", word.len()).as_bytes());
+            out.extend_from_slice(word);
+            out.extend_from_slice(b"\r\n");
+        }
+        out
+    }
+
+    /// What a reader takes from bytes that come in pieces, each as long as the next of `cuts` says.
+    fn in_pieces<T>(
+        text: &[u8],
+        cuts: &[usize],
+        mut next: impl FnMut(&mut BytesMut) -> Result<Option<T>, RespError>,
+    ) -> Result<Vec<T>, RespError> {
+        let (mut buffer, mut taken, mut rest) = (BytesMut::new(), Vec::new(), text);
+        let mut cuts = cuts.iter().cycle();
+        while !rest.is_empty() {
+            let (piece, after) = rest.split_at(rest.len().min(*cuts.next().expect("a cut")));
+            buffer.extend_from_slice(piece);
+            rest = after;
+            while let Some(item) = next(&mut buffer)? {
+                taken.push(item);
+            }
+        }
+        Ok(taken)
+    }
+
+    proptest! {
+        /// However commands are cut into reads, they come out as they went in.
+        #[test]
+        fn commands_come_out_whole_however_they_are_cut(
+            commands in vec(vec(vec(any::<u8>(), 0..=MAX_NAME), 1..=MAX_WORDS), 1..5),
+            cuts in vec(1_usize..40, 1..8),
+        ) {
+            let text: Vec<u8> = commands.iter().flat_map(|words| framed(words)).collect();
+            let mut reader = CommandReader::default();
+            let taken = in_pieces(&text, &cuts, |buffer| reader.next(buffer)).unwrap();
+            let taken: Vec<Vec<Vec<u8>>> =
+                taken.iter().map(|words| words.iter().map(|word| word.to_vec()).collect()).collect();
+            prop_assert_eq!(taken, commands);
+        }
+
+        /// Of arbitrary bytes a reader takes nothing that a library of the protocol would not take for the same, and
+        /// it holds on to a bounded number of them.
+        #[test]
+        fn nothing_is_taken_that_is_no_command(
+            text in "[*$0-9+:a-]{0,4}(\r\n)?[*$0-9a-z-]{0,6}(\r\n)?[$0-9a-z-]{0,6}(\r\n)?",
+        ) {
+            let library = decode_bytes(&Bytes::from(text.clone().into_bytes()));
+            if let Ok(Some(words)) = command_of(text.as_bytes()) {
+                let frame = words.into_iter().map(BytesFrame::BulkString).collect();
+                prop_assert_eq!(library.unwrap().unwrap().0, BytesFrame::Array(frame));
+            }
+        }
+
+        /// What cuts do not change: whether an answer is one, and which.
+        #[test]
+        fn answers_are_the_same_however_they_are_cut(
+            value in vec(any::<u8>(), 0..200),
+            spoil in any::<Option<(usize, u8)>>(),
+            cuts in vec(1_usize..40, 1..8),
+        ) {
+            let mut text = framed(&[value, b"hit".to_vec(), b"util=0.5".to_vec()]);
+            if let Some((place, byte)) = spoil {
+                let place = place % text.len();
+                text[place] = byte;
+            }
+            let whole = reply_of(&text);
+            let mut reader = ReplyReader::default();
+            let mut first = None;
+            let pieces = in_pieces(&text, &cuts, |buffer| {
+                Ok(if first.is_none() { first = reader.next(buffer)?; None::<()> } else { None })
+            });
+            match whole {
+                Err(error) => prop_assert_eq!(pieces, Err(error)),
+                Ok(whole) => prop_assert_eq!(first, whole),
+            }
         }
-        let mut buffer = BytesMut::from(&text[..]);
-        let (frame, raw) = next_frame(&mut buffer).unwrap().unwrap();
-        assert_eq!(frame, BytesFrame::Array(vec![BytesFrame::BulkString("abc".into()), BytesFrame::Null]));
-        assert_eq!(&raw[..], &text[..18]);
-        assert_eq!(&buffer[..], b"+PONG\r\n");
     }
 
     #[test]
-    fn nested_endless_and_broken_frames_are_errors() {
-        let deep = b"*1\r\n".repeat(100_000);
-        assert_eq!(next_frame(&mut BytesMut::from(&deep[..])), Err(RespError::Malformed));
-        assert_eq!(next_frame(&mut BytesMut::from(&b"*999999999\r\n"[..])), Err(RespError::TooLarge));
-        assert_eq!(next_frame(&mut BytesMut::from(&b"$999999999999\r\n"[..])), Err(RespError::TooLarge));
-        assert_eq!(next_frame(&mut BytesMut::from(&b"$-7\r\n"[..])), Err(RespError::Malformed));
-        assert_eq!(next_frame(&mut BytesMut::from(&b"$3\r\nabcde\r\n"[..])), Err(RespError::Malformed));
-        assert_eq!(next_frame(&mut BytesMut::from(&b"GET x\r\n"[..])), Err(RespError::Malformed));
-        assert_eq!(next_frame(&mut BytesMut::from(&vec![b'+'; MAX_FRAME + 1][..])), Err(RespError::TooLarge));
+    fn too_much_is_turned_away_by_its_header() {
+        let large = |text: &str| assert_eq!(command_of(text.as_bytes()), Err(RespError::TooLarge), "{text}");
+        large("*9\r\n");
+        large("*99999999999999999999999\r\n");
+        large("*1\r\n$33\r\n");
+        large("*2\r\n$5\r\nC.GET\r\n$60000000\r\n");
+        large("*5\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$65\r\n");
+        large("*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$1\r\ni\r\n$1\r\nf\r\n$65537\r\n");
+        large(&format!("*{}", "1".repeat(MAX_HEADER)));
+        let malformed =
+            |text: &str| assert_eq!(command_of(text.as_bytes()), Err(RespError::Malformed), "{text}");
+        malformed("GET x\r\n");
+        malformed("*0\r\n");
+        malformed("*-1\r\n");
+        malformed("*+1\r\n");
+        malformed("*1\r\n*1\r\n");
+        malformed("*1\r\n$-1\r\n");
+        malformed("*1\r\n$-7\r\n");
+        malformed("*1\r\n$3\r\nabcde\r\n");
+    }
+
+    #[test]
+    fn only_what_a_cache_server_can_use_is_a_command() {
+        let new = |words: [&str; 4]| Command::new(words.map(|word| Bytes::from(word.to_string())).to_vec());
+        assert!(new(["C.GET", "k", "id", "c=read,d=5"]).is_ok());
+        for fields in
+            ["", "c", "c=", "=read", "c=read,", ",c=read", "c=read,c=read", "c=re ad", "c=r\u{e9}ad"]
+        {
+            assert!(new(["C.GET", "k", "id", fields]).is_err(), "{fields}");
+        }
+        for id in ["", "a b", "a\r\n", "\u{7f}", "\u{e9}"] {
+            assert!(new(["C.GET", "k", id, "c=read"]).is_err(), "{id:?}");
+        }
+        for (text, number) in [("0", 0), ("17", 17), ("99999999999999999999999", u64::MAX)] {
+            let command = new(["C.GET", "k", "id", &format!("c=read,d={text}")]).unwrap();
+            assert_eq!(command.number("d"), Some(Ok(number)));
+        }
+        for text in ["-1", "+1", "1.5", "1e3", "0x1", "soon"] {
+            let command = new(["C.GET", "k", "id", &format!("c=read,d={text}")]).unwrap();
+            assert!(command.number("d").unwrap().is_err(), "{text}");
+        }
     }
 
     #[test]
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -451,6 +451,19 @@
         self.signal("HUP");
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+    }
+
+    /// The memory that it has in use, in KB.
+    pub fn memory_kb(&self) -> usize {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let line = status.lines().find(|line| line.starts_with("VmRSS")).expect("its memory");
+        line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).expect("a number")
+    }
+
     pub fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("its status").is_none()
     }
@@ -488,6 +501,11 @@
         self.stream.write_all(bytes).expect("written");
     }
 
+    /// Writes until the other side takes no more.
+    pub fn write_what_it_takes(&mut self, bytes: &[u8]) {
+        let _ = self.stream.write_all(bytes);
+    }
+
     /// Sends a request of a class for a key, as a write unless the class is `read`.
     pub fn send(&mut self, class: &str, key: &str, wait_ms: u64) {
         self.count += 1;
--- a/tests/router_clients.rs
+++ b/tests/router_clients.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::sockets::*;
+use std::time::Instant;
 
 #[test]
 fn answers_keep_the_order_of_pipelined_commands() {
@@ -44,41 +45,195 @@
     assert!(other.commands().iter().all(|words| words[2] != "left"), "{:?}", other.commands());
 }
 
+/// What a client may send that is no command for a cache server, each whole but for the last ones.
+fn bad_commands() -> Vec<(&'static str, Vec<u8>)> {
+    let get = |id: &str, fields: &str| command(&["C.GET", "00000000000000aa", id, fields]);
+    let long = "x".repeat(100);
+    let large = "v".repeat(70_000);
+    vec![
+        ("no arguments", command(&["C.GET"])),
+        ("no fields", command(&["C.GET", "00000000000000aa", "id"])),
+        ("a value too many", command(&["C.GET", "00000000000000aa", "id", "c=read,t=acme,d=400", "v"])),
+        ("no value", command(&["C.SET", "00000000000000aa", "id", "c=put,t=acme,d=400,k=1"])),
+        ("no class", get("id", "t=acme,d=400")),
+        ("an unknown class", get("id", "c=unknown,t=acme,d=400")),
+        ("no names", get("id", "no fields at all")),
+        ("a deadline that is no number", get("id", "c=read,t=acme,d=soon")),
+        ("a negative deadline", get("id", "c=read,t=acme,d=-5")),
+        ("a deadline with a sign", get("id", "c=read,t=acme,d=+5")),
+        ("a deadline of nothing", get("id", "c=read,t=acme,d=0")),
+        ("an empty deadline", get("id", "c=read,t=acme,d=")),
+        ("two deadlines", get("id", "c=read,t=acme,d=400,d=400")),
+        ("a hint that is no number", get("id", "c=read,t=acme,d=400,h=much")),
+        ("an empty id", get("", "c=read,t=acme,d=400")),
+        ("a long id", get(&long, "c=read,t=acme,d=400")),
+        ("an unprintable id", get("a\u{1}b", "c=read,t=acme,d=400")),
+        ("an id with an end of line", get("a\r\nb", "c=read,t=acme,d=400")),
+        ("no key", command(&["C.GET", "", "id", "c=read,t=acme,d=400"])),
+        ("no idempotency key", command(&["C.SET", "00000000000000aa", "id", "c=put,t=acme,d=400", "v"])),
+        ("a large value", command(&["C.SET", "00000000000000aa", "id", "c=put,t=acme,d=400,k=1", &large])),
+        ("an empty name", command(&[""])),
+        ("no RESP", b"GET x\r\n".to_vec()),
+        ("a length past all bounds", b"*1\r\n$99999999999999999999999\r\n".to_vec()),
+        ("many words", b"*99999999999\r\n".to_vec()),
+        ("a negative length", b"*1\r\n$-9\r\n".to_vec()),
+        ("a null", b"*-1\r\n".to_vec()),
+        ("a length that is short", b"*1\r\n$2\r\nPING\r\n".to_vec()),
+        ("arrays in arrays", b"*1\r\n".repeat(50_000)),
+        ("a line without end", vec![b'*'; 300_000]),
+        ("hundreds at once", get("id", "c=unknown,d=1").repeat(500)),
+    ]
+}
+
+/// Each gets an error line and the end of its connection, soon, and none of it reaches a cache server.
 #[test]
-fn malformed_commands_get_an_error_and_leave_the_connection_sane() {
+fn a_malformed_command_gets_an_error_and_the_end_of_its_connection() {
     let server = Server::start("s-a");
     let (mut router, _discovery) = router_of(&[&server]);
-    let mut client = router.client();
-    let large = "v".repeat(70_000);
-    let commands: [&[&str]; 8] = [
-        &["C.GET"],
-        &["C.GET", "00000000000000aa", "id"],
-        &["C.GET", "00000000000000aa", "id", "c=unknown,t=acme,d=400"],
-        &["C.GET", "00000000000000aa", "id", "no fields at all"],
-        &["C.GET", "00000000000000aa", "id", "c=read,t=acme,d=soon"],
-        &["C.SET", "00000000000000aa", "id", "c=put,t=acme,d=400,k=1", &large],
-        &["FLUSHALL"],
-        &[""],
-    ];
-    for words in commands {
-        client.write(&command(words));
-        let answer = client.answer().unwrap();
-        assert!(answer.starts_with("-ERR"), "{:?}: {answer}", words[0]);
+    for (what, bytes) in bad_commands() {
+        let mut client = router.client();
+        client.write_what_it_takes(&bytes);
+        let start = Instant::now();
+        let rest = client.rest();
+        assert!(
+            rest.starts_with(b"-ERR") && rest.ends_with(b"\r\n"),
+            "{what}: {:?}",
+            String::from_utf8_lossy(&rest)
+        );
+        assert_eq!(rest.iter().filter(|&&byte| byte == b'\n').count(), 1, "{what}: one error");
+        assert!(start.elapsed().as_secs() < 3, "{what}: {:?}", start.elapsed());
     }
-    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
-    assert_eq!(server.commands().len(), 1);
-    let deep = b"*1\r\n".repeat(50_000);
-    let endless: [&[u8]; 5] =
-        [b"GET x\r\n", b"*1\r\n$99999999999\r\n", b"*99999999999\r\n", b"*1\r\n$-9\r\n", &deep];
-    for bytes in endless {
+    assert!(router.is_running());
+    assert!(server.commands().is_empty(), "{:?}", server.commands());
+    assert!(router.client().ask("read", "00000000000000aa").contains("s-a"));
+}
+
+/// A deadline past all bounds is that of the class; the arithmetic of time holds.
+#[test]
+fn a_huge_deadline_is_that_of_the_class() {
+    let server = Server::start("s-a");
+    let (mut router, _discovery) = router_of(&[&server]);
+    for wait in [u64::MAX.to_string(), "9".repeat(60)] {
         let mut client = router.client();
-        client.write(bytes);
-        assert!(client.rest().starts_with(b"-ERR"), "{:?}", String::from_utf8_lossy(&bytes[..8]));
+        client.write(&command(&["C.GET", "00000000000000aa", "id", &format!("c=read,t=acme,d={wait}")]));
+        assert!(client.answer().unwrap().contains("s-a"));
+    }
+    for words in server.commands() {
+        let wait: u64 = words[3].rsplit("d=").next().unwrap().parse().unwrap();
+        assert!((1..=4_000).contains(&wait), "{wait}");
     }
     assert!(router.is_running());
+}
+
+/// The error line is read by a client that sends on and on, far more than is read of it.
+#[test]
+fn the_error_reaches_a_client_that_sends_on() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    let mut bytes = b"*5\r\n$5\r\nC.SET\r\n$1\r\nk\r\n$2\r\nid\r\n$5\r\nc=put\r\n$60000000\r\n".to_vec();
+    bytes.resize(200_000, b'v');
+    client.write_what_it_takes(&bytes);
+    assert_eq!(client.rest(), b"-ERR command too large\r\n");
     assert!(router.client().ask("read", "00000000000000aa").contains("s-a"));
 }
 
+#[test]
+fn answers_owed_before_an_error_still_go_out() {
+    let server = Server::start("s-a");
+    server.does("00000000000000aa", Does::ServesLater);
+    let (router, _discovery) = router_of(&[&server]);
+    let mut client = router.client();
+    client.send("read", "00000000000000aa", 4_000);
+    client.write(b"what?\r\n");
+    client.send("read", "00000000000000bb", 4_000);
+    wait_until("it is at the server", || !server.commands().is_empty());
+    server.open_gate();
+    assert!(client.answer().unwrap().contains("s-a"));
+    assert!(client.rest().starts_with(b"-ERR protocol error"));
+    assert_eq!(server.commands().len(), 1, "nothing behind the error is read");
+}
+
+/// The id of another client's open request is an error, never an answer; with the request the id is free again.
+#[test]
+fn the_id_of_an_open_request_is_an_error() {
+    let server = Server::start("s-a");
+    server.does("00000000000000aa", Does::ServesLater);
+    let (router, _discovery) = router_of(&[&server]);
+    let bytes = command(&["C.GET", "00000000000000aa", "same", "c=read,t=acme,d=4000"]);
+    let (mut first, mut second) = (router.client(), router.client());
+    first.write(&bytes);
+    wait_until("it is at the server", || server.commands().len() == 1);
+    second.write(&bytes);
+    assert!(second.rest().starts_with(b"-ERR"));
+    server.open_gate();
+    assert!(first.answer().unwrap().contains("s-a"));
+    assert_eq!(server.commands().len(), 1);
+    first.write(&bytes);
+    assert!(first.answer().unwrap().contains("s-a"));
+    // And so it is when its client leaves.
+    let mut leaving = router.client();
+    server.does("00000000000000bb", Does::IsSilent);
+    let left = command(&["C.GET", "00000000000000bb", "left", "c=read,t=acme,d=4000"]);
+    leaving.write(&left);
+    wait_until("it is at the server", || server.commands().len() == 3);
+    drop(leaving);
+    server.does("00000000000000bb", Does::Serves);
+    wait_until("its id is free", || {
+        let mut client = router.client();
+        client.write(&left);
+        client.answer().unwrap().contains("s-a")
+    });
+}
+
+/// A client that never sends a whole command is closed in time; one that asked before keeps its connection.
+#[test]
+fn silent_and_half_clients_are_closed() {
+    let server = Server::start("s-a");
+    let (router, _discovery) = router_of(&[&server]);
+    let (mut silent, mut half, mut usual, mut stuck) =
+        (router.client(), router.client(), router.client(), router.client());
+    half.write(b"*4\r\n$5\r\nC.GET\r\n$16\r\n0000");
+    assert!(usual.ask("read", "00000000000000aa").contains("s-a"));
+    assert!(stuck.ask("read", "00000000000000bb").contains("s-a"));
+    stuck.write(b"*4\r\n$5");
+    let start = Instant::now();
+    for client in [&mut silent, &mut half, &mut stuck] {
+        assert_eq!(client.rest(), b"");
+        assert!(start.elapsed().as_secs_f64() < 6.0, "{:?}", start.elapsed());
+    }
+    assert!(start.elapsed().as_secs_f64() > 1.0, "not at once: {:?}", start.elapsed());
+    assert!(usual.ask("read", "00000000000000aa").contains("s-a"));
+}
+
+/// Hundreds that connect and say nothing take neither the descriptors of the others nor their service.
+#[test]
+fn usual_clients_are_served_beside_a_silent_crowd() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    config["limits"]["sockets"] = 96.into();
+    let mut router = Router::start_after(&config, "ulimit -n 96;");
+    let mut usual: Vec<Client> = (0..4).map(|_| router.client()).collect();
+    let mut crowd = Vec::new();
+    for round in 0..30 {
+        crowd.extend((0..20).map(|_| router.client()));
+        for client in &mut usual {
+            // One that the router closed between two requests comes anew.
+            client.send("read", "00000000000000aa", 4_000);
+            let answer = client.answer().unwrap_or_else(|| {
+                *client = router.client();
+                client.ask("read", "00000000000000aa")
+            });
+            assert!(answer.contains("s-a"), "round {round}: {answer}");
+        }
+        assert!(router.descriptors() <= 96, "{}", router.descriptors());
+    }
+    assert!(router.is_running());
+    assert!(!router.log_has("accepting a client"), "it never ran out of descriptors");
+    wait_until("the crowd is closed", || router.descriptors() < 30);
+}
+
 #[test]
 fn a_client_past_the_limit_takes_the_place_of_the_idlest() {
     let server = Server::start("s-a");
--- a/tests/router_discovery.rs
+++ b/tests/router_discovery.rs
@@ -88,3 +88,48 @@
     }
     assert_eq!(owner.commands().len(), before);
 }
+
+/// A fleet whose servers are replaced all day, under new ids and at addresses that were others': what each brought goes
+/// with it, and requests find those that are there.
+#[test]
+fn many_replaced_servers_leave_nothing_behind() {
+    let servers = [Server::start("s-a"), Server::start("s-b"), Server::start("s-c")];
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[servers[0].entry("up")]);
+    // What is remembered of a server for the requests that it may still hold goes soon.
+    for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+        class["give_up"] = 0.2.into();
+        class["target"] = 0.1.into();
+    }
+    let router = Router::start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let mut client = router.client();
+    let mut seq = 8;
+    let mut before = 0;
+    for round in 0..8 {
+        for number in 0..400 {
+            let name = |number: usize| format!("server-{number:05}");
+            let here = round * 400 + number + 1;
+            let (old, new) = (name(here - 1), name(here));
+            let changed = [
+                entry(&old, servers[(here - 1) % 3].addr, "removed"),
+                entry(&new, servers[here % 3].addr, "up"),
+                servers[0].entry("removed"),
+            ];
+            discovery.writes(&format!("{}\n", list(seq, false, &changed)));
+            seq += 1;
+            if number % 20 == 0 {
+                let owner = &servers[here % 3].name;
+                wait_until("the newest serves", || {
+                    client.ask("read", &format!("{here:016x}")).contains(owner.as_str())
+                });
+            }
+        }
+        if round == 2 {
+            before = router.memory_kb();
+        }
+    }
+    let grown = router.memory_kb().saturating_sub(before);
+    assert!(grown < 1_500, "grown by {grown} KB");
+    assert!(router.descriptors() < 40, "{}", router.descriptors());
+}
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -12,7 +12,7 @@
     let mut client = router.client();
     client.write(&command(&["PING"]));
     assert_eq!(client.answer().unwrap(), "+PONG\r\n");
-    client.write(&command(&["C.GET", "7f3a9c21e0b4d655", "9b1f", "c=read,t=acme,d=900,h=1200,size=7"]));
+    client.write(&command(&["C.GET", "7f3a9c21e0b4d655", "9b1f", "c=read,t=acme,d=900,h=1200,size=2.172"]));
     assert_eq!(client.answer().unwrap().into_bytes(), value("s-a"));
     // A connection is used again once it has stayed quiet for a moment.
     std::thread::sleep(std::time::Duration::from_millis(100));
@@ -24,7 +24,7 @@
     let (read, write) = (&commands[0], &commands[1]);
     assert_eq!(read[..3], ["C.GET", "7f3a9c21e0b4d655", "9b1f"]);
     assert!((1..=900).contains(&wait(&read[3])), "{}", read[3]);
-    assert_eq!(read[3].replace(&format!("d={}", wait(&read[3])), "d="), "c=read,t=acme,d=,h=1200,size=7");
+    assert_eq!(read[3].replace(&format!("d={}", wait(&read[3])), "d="), "c=read,t=acme,d=,h=1200,size=2.172");
     assert_eq!(write[..3], ["C.SET", "7f3a9c21e0b4d655", "9b20"]);
     assert_eq!(write[4], "answers");
     assert!(write[3].ends_with(",k=5c0f"));
@@ -99,6 +99,9 @@
     let discovery = Discovery::start(list(7, false, &[]));
     let mut config = config(discovery.addr, &[entry("s-a", addr, "up")]);
     config["settings"]["limits"]["dial_timeout"] = 15.0.into();
+    for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+        class["give_up"] = 20.0.into();
+    }
     let router = Router::start(&config);
     wait_until("the router watches", || !discovery.calls().is_empty());
     let mut client = router.client();
