One reset connection no longer marks a server as restarted and cold

Checked: a probe in the module printed its state at each refusal: tokens under 1, limits of servers at 0.2 to 1, the share of misses 0.9 and more; the limit on fetches is not it (14 to 40 with 10 at work). Guess before that, ruled out: LEAST_IDLE (nothing was closed for age in either way of counting, `stale` at its largest value). The keys move, miss elsewhere, and each move costs a token. Change: an unreachable server is taken for down from the second attempt in a row without a word from it (SILENT).

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -657,6 +657,8 @@
                 let part = if little { 1 } else { 8 };
                 server.usual = server.usual.toward(end.elapsed, part);
             }
+            // One connection may be reset anywhere; the next tells whether the server is down.
+            Outcome::Unreachable if server.unheard < SILENT => {}
             // A server that turns all away or cannot be reached is left alone like a failing origin.
             Outcome::Overloaded | Outcome::Unreachable => {
                 server.load.learn(true, LEAST_LIMIT * least);
