--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -152,7 +152,7 @@
 fn a_server_that_was_down_is_cold_when_it_comes_back() {
     let mut rig = Rig::new(settings(), ready(2));
     let key = (0..).find(|&key| rig.served_by(key) == Some(name(1))).expect("a key of server 1");
-    let mut fails = |rig: &mut Rig| {
+    let fails = |rig: &mut Rig| {
         let (id, _) = rig.ask(0, key);
         rig.end(id, 0, Outcome::Unreachable, 5);
         rig.end(id, 1, Outcome::Success, 5);
