A handshake is the connection's: what is slow on a new one no longer cuts a server's limit

An answer takes 42 ms in the median on a kept connection and 96 ms on a new one, where half the aim is 50 ms: TCP comes up in 40 us, and the handshake shows as time of the first request. So learn_load (balance.rs, the arm of hits) took each new connection for slowness, lowered the limit, and has_place refused with nobody busy.

Slow answers on new ones teach nothing: neither the server's limit and usual time, nor the limit on fetches, nor a key's popularity. Late failures on new ones are still laid to the origin: without that a test of the failing origin fails, and it was taken back.

Covers other long handshakes (TLS, far zones, busy listeners). Hurts where a server ends each connection after one answer and is slow: then only time-outs and full answers tell.

The new test is refused in its second round without the change.

--- a/src/api.rs
+++ b/src/api.rs
@@ -415,6 +415,18 @@
     MissPending,
 }
 
+/// The connection that an attempt went out on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Link {
+    /// The embedding program cannot tell.
+    #[default]
+    Unknown,
+    /// It was opened for this attempt, whose time holds the handshake.
+    New,
+    /// It had carried others, and had been idle for so long since the last.
+    Kept(Micros),
+}
+
 /// The end of an attempt; each gets exactly one.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AttemptEnd {
@@ -433,6 +445,8 @@
     /// Something of an answer came back: whatever the outcome, the connection was alive. False where that is not
     /// known.
     pub begun: bool,
+    /// The connection that it went out on.
+    pub link: Link,
 }
 
 /// What happens to the router.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -561,7 +561,7 @@
             self.servers[index].last_used = self.now;
             self.learn_connection(idle, &end);
             // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
-            let slow = end.elapsed > aim.scaled(SLOW_SHARE);
+            let slow = end.elapsed > aim.scaled(SLOW_SHARE) && end.link != Link::New;
             self.popular.entry(held.place).and_modify(|count| *count += f64::from(u8::from(slow)));
             self.servers[index].load.in_flight -= 1;
             self.fetches.in_flight -= u32::from(fetch);
@@ -644,6 +644,10 @@
         let hit = served && !missed && !server.is_origin;
         // A quick miss frees a throttled server too: most answers may be misses.
         let quick = end.elapsed <= half && (served || end.outcome == Outcome::Miss);
+        // Guards against taking a handshake for the server's slowness: what is late on a new connection tells
+        // nothing (TLS, a long way, a busy listener). A server that ends each connection after one answer is
+        // judged by time-outs and full answers alone.
+        let handshake = end.link == Link::New && served;
         let freed = quick && server.load.limit < server.load.first;
         match end.outcome {
             Outcome::Cancelled | Outcome::Void => return,
@@ -652,10 +656,13 @@
                 let late = end.elapsed > self.shortest_aim || !served;
                 server.load.learn(late, LEAST_LIMIT);
             }
+            _ if handshake && !quick => {}
             _ if hit || freed || (late && !hung) => {
                 server.load.learn(late || end.elapsed > half, least);
                 let part = if little { 1 } else { 8 };
-                server.usual = server.usual.toward(end.elapsed, part);
+                if !handshake {
+                    server.usual = server.usual.toward(end.elapsed, part);
+                }
             }
             // One connection may be reset anywhere; the next tells whether the server is down.
             Outcome::Unreachable if server.unheard < SILENT => {}
@@ -667,14 +674,16 @@
             }
             _ => {}
         }
-        if hit {
+        if hit && !handshake {
             self.usual = self.usual.toward(end.elapsed, 8);
         }
         if fetch && served && end.note.is_some() {
             self.misses += (f64::from(u8::from(missed)) - self.misses) / MISS_SPAN;
         }
         match end.outcome {
-            Outcome::Success if fetch => self.fetches.learn(beyond > aim, LEAST_LIMIT),
+            Outcome::Success if fetch && !(handshake && beyond > aim) => {
+                self.fetches.learn(beyond > aim, LEAST_LIMIT)
+            }
             Outcome::TimedOut if fetch && hung => self.fetches.learn(beyond > half, LEAST_LIMIT),
             Outcome::Failure if fetch && missed => self.fetches.learn(true, LEAST_LIMIT),
             _ => {}
--- a/src/bin/asterport/driver.rs
+++ b/src/bin/asterport/driver.rs
@@ -237,6 +237,7 @@
                 elapsed,
                 note,
                 begun: false,
+                link: Link::Unknown,
             }));
             return;
         }
@@ -268,8 +269,8 @@
                 None => true,
             }
         };
-        let Ended { outcome, note, begun, .. } = ended;
-        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun }));
+        let Ended { outcome, note, begun, link, .. } = ended;
+        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link }));
         self.forget(id);
     }
 
--- a/src/bin/asterport/servers.rs
+++ b/src/bin/asterport/servers.rs
@@ -2,7 +2,7 @@
 
 use crate::resp::{Command, READ_SIZE, Reply, ReplyReader};
 use bytes::{Bytes, BytesMut};
-use onyxpick::{CacheNote, Outcome, ServerId, ServerState};
+use onyxpick::{CacheNote, Link, Micros, Outcome, ServerId, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
@@ -39,11 +39,13 @@
     pub answer: Option<Bytes>,
     /// Something came back: the connection was alive, whatever became of the answer.
     pub begun: bool,
+    /// The connection that it went out on.
+    pub link: Link,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, note: None, answer: None, begun: false }
+        Ended { outcome, note: None, answer: None, begun: false, link: Link::Unknown }
     }
 }
 
@@ -137,16 +139,27 @@
 
     /// One attempt, from its connection to its outcome. Never longer than until `until`.
     pub async fn attempt(self: Rc<Self>, server: ServerId, command: Rc<Command>, until: Instant) -> Ended {
-        let mut connection = match self.idle_connection(&server) {
-            Some(connection) => connection,
+        let (connection, link) = match self.idle_connection(&server) {
+            Some((connection, idle)) => (connection, Link::Kept(Micros(idle.as_micros() as u64))),
             None => match self.connect(&server, until).await {
-                Ok(connection) => connection,
-                Err(outcome) => return outcome.into(),
+                Ok(connection) => (connection, Link::New),
+                Err(outcome) => return Ended { link: Link::New, ..outcome.into() },
             },
         };
+        Ended { link, ..self.exchange(&server, connection, &command, until).await }
+    }
+
+    /// One command and its answer on a connection.
+    async fn exchange(
+        &self,
+        server: &ServerId,
+        mut connection: Connection,
+        command: &Command,
+        until: Instant,
+    ) -> Ended {
         // Guards the drain grace: the list may have changed while the connection came up.
         let wanted = |pool: &Pool| pool.state == ServerState::Ready && pool.addr == connection.addr;
-        if !self.pools.borrow().get(&server).is_some_and(wanted) {
+        if !self.pools.borrow().get(server).is_some_and(wanted) {
             return Outcome::Void.into();
         }
         let wait = until.saturating_duration_since(Instant::now()).as_millis().max(1);
@@ -159,7 +172,7 @@
                 _ => return Outcome::Unreachable.into(),
             }
         }
-        self.read_answer(&server, connection, until).await
+        self.read_answer(server, connection, until).await
     }
 
     /// The answer to the one command that is out on the connection. What is no answer may have run, and ends the
@@ -196,8 +209,9 @@
         }
     }
 
-    /// The idle connection used last but not just now, so that the others grow old and are retired.
-    fn idle_connection(&self, server: &ServerId) -> Option<Connection> {
+    /// The idle connection used last but not just now, so that the others grow old and are retired; and how long it
+    /// was idle.
+    fn idle_connection(&self, server: &ServerId) -> Option<(Connection, Duration)> {
         let mut pools = self.pools.borrow_mut();
         let idle = &mut pools.get_mut(server)?.idle;
         let is_settled = |(connection, since): &(Connection, Instant)| {
@@ -206,7 +220,7 @@
         while let Some(place) = idle.iter().rposition(is_settled) {
             let (connection, since) = idle.remove(place);
             if self.is_fresh(since) && connection.is_quiet() {
-                return Some(connection);
+                return Some((connection, since.elapsed()));
             }
         }
         None
@@ -266,6 +280,6 @@
             Reply::Failed => (Outcome::Failure, None, None),
             Reply::Busy => (Outcome::Overloaded, None, None),
         };
-        Ended { outcome, note, answer, begun: true }
+        Ended { outcome, note, answer, begun: true, link: Link::Unknown }
     }
 }
--- a/src/bin/onyxpick-benchlink/wire.rs
+++ b/src/bin/onyxpick-benchlink/wire.rs
@@ -211,7 +211,16 @@
     let elapsed = line.time("elapsed")?;
     let attempt = attempt(line)?;
     line.text("load")?;
-    Ok(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun: false }))
+    Ok(Event::Ended(AttemptEnd {
+        id,
+        attempt,
+        outcome,
+        complete,
+        elapsed,
+        note,
+        begun: false,
+        link: Link::Unknown,
+    }))
 }
 
 /// Reads one `item` line into the membership event it belongs to.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -82,6 +82,7 @@
             elapsed: ms(took),
             note: None,
             begun: false,
+            link: Link::Unknown,
         }))
     }
 
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -76,6 +76,8 @@
     SaysThen(Vec<u8>, u64, Vec<u8>),
     /// Answers with these bytes and then with the others again and again, until the connection ends.
     SaysWithoutEnd(Vec<u8>, Vec<u8>),
+    /// Serves, the first command of each connection after this many milliseconds: what a handshake takes.
+    ServesLateWhenNew(u64),
     /// Says nothing.
     IsSilent,
     /// Serves once [`Server::open_gate`] was called.
@@ -131,6 +133,7 @@
         };
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         let mut writer = stream;
+        let mut is_new = true;
         while let Some(frame) = read_frame(&mut reader) {
             let words = words(&frame);
             let does = {
@@ -162,6 +165,11 @@
                     }
                     (Vec::new(), true)
                 }
+                Does::ServesLateWhenNew(millis) => {
+                    let wait = if std::mem::replace(&mut is_new, false) { millis } else { 0 };
+                    thread::sleep(Duration::from_millis(wait));
+                    (value(&self.name), false)
+                }
                 Does::IsSilent => continue,
                 Does::ServesLater => {
                     let seen = self.seen.0.lock().unwrap();
--- a/tests/departures.rs
+++ b/tests/departures.rs
@@ -23,7 +23,16 @@
 fn ended(id: RequestId, outcome: Outcome, took: u64, note: Option<CacheNote>) -> Event {
     let complete = outcome == Outcome::Success;
     let elapsed = ms(took);
-    Event::Ended(AttemptEnd { id, attempt: AttemptNo(0), outcome, complete, elapsed, note, begun: false })
+    Event::Ended(AttemptEnd {
+        id,
+        attempt: AttemptNo(0),
+        outcome,
+        complete,
+        elapsed,
+        note,
+        begun: false,
+        link: Link::Unknown,
+    })
 }
 
 /// A server that cannot be reached is left to its successors but for a trickle, and taken back when it serves.
--- a/tests/embed.rs
+++ b/tests/embed.rs
@@ -52,6 +52,7 @@
                 elapsed: Micros::from_millis(12),
                 note: Some(CacheNote::Hit),
                 begun: false,
+                link: Link::Unknown,
             }),
         );
     }
@@ -117,6 +118,7 @@
                     elapsed: Micros::from_millis(2),
                     note: None,
                     begun: false,
+                    link: Link::Unknown,
                 }),
             );
         }
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -164,7 +164,16 @@
         case.over |= ends;
         let (complete, elapsed) = (case.over, self.now.since(case.sent[out].at));
         let attempt = AttemptNo(out as u32);
-        self.event(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun: false }));
+        self.event(Event::Ended(AttemptEnd {
+            id,
+            attempt,
+            outcome,
+            complete,
+            elapsed,
+            note,
+            begun: false,
+            link: Link::Unknown,
+        }));
     }
 
     fn list(&mut self, kind: usize, states: &[(usize, usize, u64, u32)]) {
@@ -225,6 +234,7 @@
                     elapsed: ms(1),
                     note: None,
                     begun: false,
+                    link: Link::Unknown,
                 }));
             }
             Step::Gone(nth) => {
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -371,3 +371,26 @@
     let mut again = || client.ask("read", &keys.next().unwrap()).contains(&owner.name);
     wait_until("its arc is its own again", || again() && again() && again());
 }
+
+/// A handshake is the connection's: servers whose new connections take long, while they answer at once on those they
+/// have, are sent as much as before.
+#[test]
+fn slow_handshakes_cost_a_server_none_of_its_room() {
+    let server = Server::start("s-a");
+    // Longer than half of the aim, which would be slow for an answer.
+    server.usually(Does::ServesLateWhenNew(300));
+    let (router, _discovery) = router_of(&[&server]);
+    let mut clients: Vec<Client> = (0..12).map(|_| router.client()).collect();
+    for round in 0..4 {
+        let sent = clients.iter_mut().enumerate();
+        sent.for_each(|(key, client)| client.send("read", &format!("{key:016x}"), 4_000));
+        for client in &mut clients {
+            let answer = client.answer().unwrap();
+            assert!(answer.contains("s-a"), "round {round}: {answer}");
+        }
+        server.end_connections();
+        let (came, _) = server.connections();
+        wait_until("all have ended", || server.connections() == (came, came));
+    }
+    assert_eq!(server.connections().0, 48, "each went out on a new connection");
+}
