A kept connection that was dead costs no token, and its server is tried again

Half of all 920 breaks come within 60 us of the write, on kept connections: nobody worked for them. try_again took a whole token for each where a served request earns 0.15, and choose passed over the server, so that the key moved to a successor that lacks it. Idle for over 108 ms, 45 % of the kept ones are dead, under that 3 to 4 %; the same at every server. Never used ones do not die, so the age is counted from the last answer.

balance.rs: an attempt that broke on a kept connection with no byte of an answer, sooner than half a usual answer, has not met its server (is_unmet): free, and the server stays a candidate. It still counts as one that may have run: unsafe classes fail, keyed ones stay inside their window.

The new test moves to the other server in its first round without the change, and is refused in the sixth where the attempt is not free.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,6 +101,16 @@
         if since == Micros(0) || part.is_nan() { 1.0 } else { part.min(1.0) }
     }
 
+    /// Guards against taking a connection's end for the server's: a kept one that breaks sooner than any answer
+    /// comes was dead before (closed as idle, reset by a firewall, cut off with an old process). The next attempt
+    /// at the same server is free: no work was done, and the key is kept there. It goes out on another connection,
+    /// at the latest on a new one, which is not free when it breaks. Hurts where a server breaks all connections
+    /// at once, by as many attempts as it had connections, within the limit on attempts.
+    fn is_unmet(&self, end: &AttemptEnd) -> bool {
+        let early = end.elapsed.scaled(2.0) <= self.usual;
+        end.outcome == Outcome::Broken && !end.begun && matches!(end.link, Link::Kept(_)) && early
+    }
+
     /// The part of its capacity that it has at least.
     pub fn capacity(&self, at: Micros, rules: &Rules) -> f64 {
         rules.cold_share + (1.0 - rules.cold_share) * self.warmth(at, rules)
@@ -362,13 +372,12 @@
         let fetch = aside || self.may_fetch(stretch, chance);
         // A key hotter than its server has further homes clockwise; each router keeps to one of them.
         // A further attempt goes to one of a few, or all routers would crowd the next as they did the owner.
-        let spread = (HOT_ROOM * self.heat(held.place)).max(SPREAD * held.attempts.len() as f64);
-        let mut passed_on =
-            self.corner * spread.min((self.ready - held.attempts.len().min(self.ready)) as f64);
+        let spread = (HOT_ROOM * self.heat(held.place)).max(SPREAD * held.met() as f64);
+        let mut passed_on = self.corner * spread.min((self.ready - held.met().min(self.ready)) as f64);
         let found = self.first_candidate(held.place, |index| {
             let server = &self.servers[index];
             // A server slower or colder than the best takes its arcs in part, a cold one within its budget.
-            if held.attempts.iter().any(|a| a.server == index)
+            if held.attempts.iter().any(|a| a.server == index && !a.unmet)
                 || held.slice * most > part(server)
                 || (server.warmth(now, rules) < 1.0 && !self.has_budget(server))
                 || (self.is_silent(server) && now.since(server.last_sent) < trial_gap)
@@ -455,7 +464,14 @@
         let fetch =
             self.settings.mode == CacheMode::Through && (held.ask.write || !self.knows(held.place, index));
         let idle = self.idle_connection(index);
-        held.attempts.push(Attempt { server: index, sent: self.now, fate: Fate::Out, fetch, idle });
+        held.attempts.push(Attempt {
+            server: index,
+            sent: self.now,
+            fate: Fate::Out,
+            fetch,
+            idle,
+            unmet: false,
+        });
         self.servers[index].last_used = self.now;
         self.fetches.in_flight += u32::from(fetch);
         self.servers[index].load.in_flight += 1;
@@ -555,6 +571,7 @@
         let aim = self.class(&held).aim;
         let tried = held.attempts.get_mut(end.attempt.0 as usize).filter(|a| a.fate == Fate::Out);
         if let Some(tried) = tried {
+            tried.unmet = self.servers[tried.server].is_unmet(&end);
             tried.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRan };
             let (index, fetch, idle) = (tried.server, tried.fetch, tried.idle);
             let end = self.with_note(end);
@@ -695,7 +712,8 @@
         let in_time = held.ask.expires.since(self.now) >= self.class(held).aim.scaled(LEAST_TIME);
         // Where a fetch failed, a further one elsewhere only feeds a failing origin.
         let in_vain = end.outcome == Outcome::Failure && end.note.is_some();
-        let price = if end.outcome == Outcome::Miss { 0.0 } else { 1.0 };
+        let unmet = held.attempts.get(end.attempt.0 as usize).is_some_and(|a| a.unmet);
+        let price = if end.outcome == Outcome::Miss || unmet { 0.0 } else { 1.0 };
         let again = in_time && !in_vain && self.retry_tokens >= price;
         self.retry_tokens -= if again { price } else { 0.0 };
         again
--- a/src/state.rs
+++ b/src/state.rs
@@ -28,6 +28,8 @@
     pub fetch: bool,
     /// How long the connection it went out on had been idle; `None` for a new or a busy one.
     pub idle: Option<Micros>,
+    /// It met a kept connection that was dead already: its server may be tried again.
+    pub unmet: bool,
 }
 
 /// A request, until it is answered and its last attempt has ended.
@@ -56,6 +58,11 @@
         self.attempts.iter().any(|a| a.fate == Fate::Out)
     }
 
+    /// Attempts that met their server.
+    pub fn met(&self) -> usize {
+        self.attempts.iter().filter(|a| !a.unmet).count()
+    }
+
     /// The first attempt that may have run or may yet.
     pub fn first_run(&self) -> Option<&Attempt> {
         self.attempts.iter().find(|a| a.fate != Fate::NeverRan)
--- a/tests/common/sockets.rs
+++ b/tests/common/sockets.rs
@@ -78,6 +78,8 @@
     SaysWithoutEnd(Vec<u8>, Vec<u8>),
     /// Serves, the first command of each connection after this many milliseconds: what a handshake takes.
     ServesLateWhenNew(u64),
+    /// Serves the first command of each connection and ends it at the next, unanswered.
+    EndsWhenKept,
     /// Says nothing.
     IsSilent,
     /// Serves once [`Server::open_gate`] was called.
@@ -166,10 +168,11 @@
                     (Vec::new(), true)
                 }
                 Does::ServesLateWhenNew(millis) => {
-                    let wait = if std::mem::replace(&mut is_new, false) { millis } else { 0 };
-                    thread::sleep(Duration::from_millis(wait));
+                    thread::sleep(Duration::from_millis(if is_new { millis } else { 0 }));
                     (value(&self.name), false)
                 }
+                Does::EndsWhenKept if !is_new => (Vec::new(), true),
+                Does::EndsWhenKept => (value(&self.name), false),
                 Does::IsSilent => continue,
                 Does::ServesLater => {
                     let seen = self.seen.0.lock().unwrap();
@@ -177,6 +180,7 @@
                     (value(&self.name), false)
                 }
             };
+            is_new = false;
             if writer.write_all(&bytes).is_err() || ends {
                 break;
             }
--- a/tests/router_servers.rs
+++ b/tests/router_servers.rs
@@ -394,3 +394,38 @@
     }
     assert_eq!(server.connections().0, 48, "each went out on a new connection");
 }
+
+/// A kept connection that turns out to be dead is no word from its server: the key stays there, on another connection,
+/// and however often that happens, no request is turned away for it.
+#[test]
+fn a_dead_connection_costs_a_key_neither_its_server_nor_a_further_attempt() {
+    let key = "7f3a9c21e0b4d655";
+    let (a, b) = (Server::start("s-a"), Server::start("s-b"));
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[a.entry("up"), b.entry("up")]);
+    // One of many routers starts with few further attempts in hand.
+    config["settings"]["peers_total"] = 12.into();
+    let router = Router::start(&config);
+    let mut client = router.client();
+    assert!(client.ask("read", key).contains("s-"));
+    let (owner, other) = if a.commands().is_empty() { (b, a) } else { (a, b) };
+    // The router learns how long the owner's answers take: what breaks much sooner did no work.
+    owner.usually(Does::SaysAfter(100, value(&owner.name)));
+    let pause = || std::thread::sleep(std::time::Duration::from_millis(20));
+    for _ in 0..12 {
+        pause();
+        assert!(client.ask("read", key).contains(&owner.name));
+    }
+    owner.usually(Does::EndsWhenKept);
+    let before = owner.connections().0;
+    for round in 0..20 {
+        pause();
+        let answer = client.ask("read", key);
+        assert!(answer.contains(&owner.name), "round {round}: {answer}");
+    }
+    assert!(owner.connections().0 >= before + 20, "a new connection each time");
+    assert!(other.commands().is_empty(), "{:?}", other.commands());
+    // A request that must never run twice may have run.
+    pause();
+    assert!(client.ask("once", key).starts_with("-ERR"));
+}
