--- a/src/balance.rs
+++ b/src/balance.rs
@@ -101,11 +101,11 @@
         if since == Micros(0) || part.is_nan() { 1.0 } else { part.min(1.0) }
     }
 
-    /// Guards against taking a connection's end for the server's: a kept one that breaks sooner than any answer
-    /// comes was dead before (closed as idle, reset by a firewall, cut off with an old process). The next attempt
-    /// at the same server is free: no work was done, and the key is kept there. It goes out on another connection,
-    /// at the latest on a new one, which is not free when it breaks. Hurts where a server breaks all connections
-    /// at once, by as many attempts as it had connections, within the limit on attempts.
+    /// Guards against taking a connection's end for the server's: a kept one that breaks sooner than any
+    /// answer comes was dead before (closed as idle, reset by a firewall, cut off with an old process). The
+    /// next attempt at the same server is free: no work was done, and the key is kept there. It goes out on
+    /// another connection, at the latest on a new one, which is not free when it breaks. Hurts where a server
+    /// breaks all connections at once, by as many attempts as it had, within the limit on attempts.
     fn is_unmet(&self, end: &AttemptEnd) -> bool {
         let early = end.elapsed.scaled(2.0) <= self.usual;
         end.outcome == Outcome::Broken && !end.begun && matches!(end.link, Link::Kept(_)) && early
