--- a/src/bin/asterport/clients.rs
+++ b/src/bin/asterport/clients.rs
@@ -26,6 +26,9 @@
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 /// A client that has said nothing so soon after it connected may be about to.
 const YOUNG: Duration = Duration::from_millis(500);
+/// One that connected within this time has its command on the way most likely: closed now it would lose it, where one
+/// that was answered before loses nothing and may come anew.
+const ARRIVING: Duration = Duration::from_millis(100);
 /// After an error that ends a connection: how much is read on and for how long, so that the error is not lost with
 /// what the client still sends.
 const DRAIN_BYTES: usize = 256 * 1024;
@@ -175,7 +178,10 @@
     }
 
     /// Makes room for another client by closing one that is owed nothing: one that had its time to ask and did not,
-    /// else one that has not asked for long, else whoever came or asked first.
+    /// else one that has not asked for long, else one that says nothing or rests between commands, and one that only
+    /// just came last of all. Guards against crowds that connect at once: while many clients rest between commands,
+    /// each newcomer would be closed for the next, before its first command is read. Hurts clients that rest when
+    /// hundreds connect and say nothing: they must connect again.
     fn make_room(&self) {
         let rank = |client: &Client| {
             let since = client.begun.get().unwrap_or(client.used.get());
@@ -183,8 +189,9 @@
             let class = match (silent, since.elapsed()) {
                 (true, age) if age > YOUNG => 0,
                 (false, age) if age > COMMAND_LIMIT => 1,
-                (true, _) => 2,
+                (true, age) if age > ARRIVING => 2,
                 (false, _) => 3,
+                (true, _) => 4,
             };
             (class, since)
         };
--- a/tests/router_clients.rs
+++ b/tests/router_clients.rs
@@ -260,3 +260,36 @@
     wait_until("it serves again", || router.client().ask("read", "00000000000000aa").contains("s-a"));
     assert!(router.is_running());
 }
+
+/// Clients that connect together while all places are taken by others that rest between commands: none of them is
+/// closed for the next before its first command is there.
+#[test]
+fn newcomers_to_a_full_router_are_heard() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    // Places for 24 clients.
+    config["limits"]["sockets"] = 96.into();
+    wait_until("a round in time", || {
+        let router = Router::start(&config);
+        let mut resting: Vec<Client> = (0..24).map(|_| router.client()).collect();
+        let pong = Some("+PONG\r\n");
+        for client in &mut resting {
+            client.write(&command(&["PING"]));
+            assert_eq!(client.answer().as_deref(), pong);
+        }
+        let start = Instant::now();
+        let mut newcomers: Vec<Client> = (0..6).map(|_| router.client()).collect();
+        // The last is answered once all are accepted and have made room for themselves.
+        let mut last = router.client();
+        last.write(&command(&["PING"]));
+        let _ = last.answer();
+        // On a machine that stood still meanwhile they had their time.
+        let in_time = start.elapsed().as_millis() < 80;
+        for (number, client) in newcomers.iter_mut().enumerate().filter(|_| in_time) {
+            client.write_what_it_takes(&command(&["PING"]));
+            assert_eq!(client.answer().as_deref(), pong, "newcomer {number}");
+        }
+        in_time
+    });
+}
