--- a/src/bin/asterport/clients.rs
+++ b/src/bin/asterport/clients.rs
@@ -24,6 +24,10 @@
 const COMMAND_LIMIT: Duration = Duration::from_secs(2);
 /// One that asks nothing more for this long may come anew; many never do and keep their connection for good.
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
+/// A client that has not asked for so long since its last answer rests.
+const RESTING: Duration = Duration::from_millis(100);
+/// How often those that rest are counted.
+const RESTING_ROUND: Duration = Duration::from_millis(50);
 /// A client that has said nothing so soon after it connected may be about to.
 const YOUNG: Duration = Duration::from_millis(500);
 /// One that connected within this time has its command on the way most likely: closed now it would lose it, where one
@@ -203,6 +207,26 @@
         }
     }
 
+    /// Sees to it, for as long as the program runs, that clients that rest between commands hold no more than a
+    /// quarter of the places: those that asked longest ago are closed. Guards against clients that ask once and keep
+    /// their connection: a front or the clients' own limits may allow fewer connections than there are places, and
+    /// then nobody can come to ask for one. Hurts clients that keep many connections and use them by turns: the
+    /// router has them connect again, which loses no request.
+    pub async fn close_resting(self: Rc<Self>) {
+        loop {
+            tokio::time::sleep(RESTING_ROUND).await;
+            let open = self.open.borrow();
+            let rests = |client: &&Rc<Client>| {
+                let idle = client.owed.get() == 0 && client.begun.get().is_none() && !client.closing.get();
+                client.has_asked.get() && idle && client.used.get().elapsed() > RESTING
+            };
+            let mut resting: Vec<_> = open.values().filter(rests).collect();
+            resting.sort_by_key(|client| client.used.get());
+            let excess = resting.len().saturating_sub(self.most / 4);
+            resting.iter().take(excess).for_each(|client| client.close());
+        }
+    }
+
     /// Closes every connection as soon as nothing is owed on it, and returns when all are closed.
     pub async fn close(&self) {
         self.closing.set(true);
--- a/src/bin/asterport/main.rs
+++ b/src/bin/asterport/main.rs
@@ -187,6 +187,7 @@
     spawn_local(driver.clone().run_timers());
     spawn_local(servers.retire_idle());
     let clients = Clients::new(driver.clone(), names, classes, most);
+    spawn_local(clients.clone().close_resting());
     tokio::select! {
         () = clients.accept(&listener) => {}
         _ = stop.recv() => {}
--- a/tests/router_clients.rs
+++ b/tests/router_clients.rs
@@ -293,3 +293,24 @@
         in_time
     });
 }
+
+/// Clients that ask once and keep their connection do not fill the router: who may come at all may be limited elsewhere.
+#[test]
+fn resting_clients_hold_a_quarter_of_the_places() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    // Places for 24 clients.
+    config["limits"]["sockets"] = 96.into();
+    let router = Router::start(&config);
+    let few = router.descriptors();
+    let mut clients: Vec<Client> = (0..22).map(|_| router.client()).collect();
+    for client in &mut clients {
+        assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    }
+    // A few connections lead to the server.
+    wait_until("most places are free", || router.descriptors() <= few + 6 + 4);
+    assert_eq!(clients[0].answer(), None, "who asked longest ago is closed");
+    // Who asked last may ask again.
+    assert!(clients[21].ask("read", "00000000000000aa").contains("s-a"));
+}
