A workspace by concern, and the engine on one seam of time, tasks and TCP

Need: tests on real sockets meet one fault at a time and slowly; the engine has to run on a virtual clock, and later subsystems need packages of their own.

The engine is generic over seam::World and reads no clock, opens no socket and starts no task but through it; service::Service is tokio and real sockets, compiled in without dynamic dispatch, lock or copy. What runs from the start to the end of a router (SIGTERM too) moved from the program into engine::Engine.

--- a/src/bin/asterport/clients.rs
+++ b/crates/asterport-engine/src/clients.rs
@@ -2,20 +2,18 @@
 
 use crate::driver::{Answer, Ask, Driver};
 use crate::resp::{Command, CommandReader, READ_SIZE, RespError};
+use crate::seam::{Stream, World};
 use bytes::{Bytes, BytesMut};
 use md5::{Digest, Md5};
 use onyxpick::params::Names;
 use onyxpick::*;
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Notify, mpsc, oneshot};
-use tokio::time::{Duration, Instant, sleep_until, timeout};
 
 /// Commands on one connection that wait for their answers; past this its next ones stay unread.
 const PIPELINE: usize = 64;
@@ -46,12 +44,14 @@
 /// How long to leave the listener alone after it failed, out of descriptors for instance.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-pub struct Clients {
-    driver: Rc<Driver>,
+pub struct Clients<W: World> {
+    world: W,
+    driver: Rc<Driver<W>>,
     names: Rc<Names>,
     classes: Vec<Class>,
     most: usize,
-    open: RefCell<HashMap<u64, Rc<Client>>>,
+    /// In the order in which they came, so that equal days go alike.
+    open: RefCell<BTreeMap<u64, Rc<Client>>>,
     last: Cell<u64>,
     closing: Cell<bool>,
     ended: Notify,
@@ -86,7 +86,7 @@
     unknown: Cell<u32>,
     /// When it connected or was last read from or written to.
     used: Cell<Instant>,
-    waiting: RefCell<HashSet<RequestId>>,
+    waiting: RefCell<BTreeSet<RequestId>>,
     /// Its place is wanted for another: whatever it has sent of a command is not waited for.
     evicted: Cell<bool>,
 }
@@ -108,17 +108,16 @@
     Error,
 }
 
-/// Binds so that a restart at the same address succeeds at once.
-pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(addr)?;
-    socket.listen(1024)
-}
-
-impl Clients {
-    pub fn new(driver: Rc<Driver>, names: Rc<Names>, classes: Vec<Class>, most: usize) -> Rc<Clients> {
+impl<W: World> Clients<W> {
+    pub fn new(
+        driver: Rc<Driver<W>>,
+        names: Rc<Names>,
+        classes: Vec<Class>,
+        most: usize,
+        world: W,
+    ) -> Rc<Self> {
         Rc::new(Clients {
+            world,
             driver,
             names,
             classes,
@@ -132,30 +131,30 @@
     }
 
     /// Accepts clients, for as long as it is polled. Past the limit the next ones wait until there is room.
-    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+    pub async fn accept(self: &Rc<Self>, listener: &W::Listener) {
         let mut failing = false;
         loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+            match self.world.accept(listener).await {
+                Ok(stream) => {
                     failing = false;
                     while self.open.borrow().len() >= self.most {
                         self.make_room();
-                        let _ = timeout(ACCEPT_PAUSE, self.ended.notified()).await;
+                        let _ = self.world.timeout(ACCEPT_PAUSE, self.ended.notified()).await;
                     }
                     self.start(stream);
                 }
                 Err(error) => {
                     if !std::mem::replace(&mut failing, true) {
-                        eprintln!("asterport: accepting a client: {error}");
+                        self.world.log(format_args!("accepting a client: {error}"));
                     }
                     self.make_room();
-                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                    self.world.sleep(ACCEPT_PAUSE).await;
                 }
             }
         }
     }
 
-    fn start(self: &Rc<Self>, stream: TcpStream) {
+    fn start(self: &Rc<Self>, stream: W::Stream) {
         let id = self.last.get() + 1;
         self.last.set(id);
         let client = Rc::new(Client {
@@ -165,13 +164,13 @@
             has_asked: Cell::new(false),
             begun: Cell::new(None),
             unknown: Cell::new(0),
-            used: Cell::new(Instant::now()),
+            used: Cell::new(self.world.now()),
             waiting: RefCell::default(),
             evicted: Cell::new(false),
         });
         self.open.borrow_mut().insert(id, client.clone());
         let clients = self.clone();
-        tokio::task::spawn_local(async move {
+        self.world.spawn(async move {
             clients.serve(stream, &client).await;
             for id in client.waiting.take() {
                 clients.driver.gone(id);
@@ -187,10 +186,11 @@
     /// each newcomer would be closed for the next, before its first command is read. Hurts clients that rest when
     /// hundreds connect and say nothing: they must connect again.
     fn make_room(&self) {
+        let now = self.world.now();
         let rank = |client: &Client| {
             let since = client.begun.get().unwrap_or(client.used.get());
             let silent = !client.has_asked.get() || client.begun.get().is_some();
-            let class = match (silent, since.elapsed()) {
+            let class = match (silent, now.saturating_duration_since(since)) {
                 (true, age) if age > YOUNG => 0,
                 (false, age) if age > COMMAND_LIMIT => 1,
                 (true, age) if age > ARRIVING => 2,
@@ -214,11 +214,11 @@
     /// router has them connect again, which loses no request.
     pub async fn close_resting(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(RESTING_ROUND).await;
-            let open = self.open.borrow();
+            self.world.sleep(RESTING_ROUND).await;
+            let (open, now) = (self.open.borrow(), self.world.now());
             let rests = |client: &&Rc<Client>| {
                 let idle = client.owed.get() == 0 && client.begun.get().is_none() && !client.closing.get();
-                client.has_asked.get() && idle && client.used.get().elapsed() > RESTING
+                client.has_asked.get() && idle && now.saturating_duration_since(client.used.get()) > RESTING
             };
             let mut resting: Vec<_> = open.values().filter(rests).collect();
             resting.sort_by_key(|client| client.used.get());
@@ -236,16 +236,17 @@
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream, client: &Client) {
-        if stream.set_nodelay(true).is_err() {
+    async fn serve(&self, mut stream: W::Stream, client: &Client) {
+        if stream.set_nodelay().is_err() {
             return;
         }
         let end = {
             let (reader, writer) = stream.split();
             let (owed, answers) = mpsc::channel(PIPELINE);
-            let writing = write_answers(writer, answers, client);
+            let writing = self.write_answers(writer, answers, client);
             tokio::pin!(writing);
             let end = tokio::select! {
+                biased;
                 // What it waited for is not owed if it has left.
                 end = self.read_commands(reader, owed, client) => end,
                 // It takes no answers.
@@ -258,14 +259,14 @@
             end
         };
         if matches!(end, End::Error) {
-            drain(stream).await;
+            self.drain(stream).await;
         }
     }
 
     /// Reads commands until no more are to be read.
     async fn read_commands(
         &self,
-        mut stream: ReadHalf<'_>,
+        mut stream: <W::Stream as Stream>::Reader<'_>,
         owed: mpsc::Sender<Owed>,
         client: &Client,
     ) -> End {
@@ -299,7 +300,7 @@
                 // An idle client holds no buffer of the size of its last command.
                 buffer = BytesMut::new();
             } else if client.begun.get().is_none() {
-                client.begun.set(Some(Instant::now()));
+                client.begun.set(Some(self.world.now()));
             }
             buffer.reserve(READ_SIZE.max(reader.missing(&buffer)));
             let may_close = client.closing.get() && client.owed.get() == 0 && buffer.is_empty();
@@ -314,13 +315,13 @@
                 read = stream.read_buf(&mut buffer) => match read {
                     Ok(count) if count > 0 => {
                         if client.has_asked.get() {
-                            client.used.set(Instant::now());
+                            client.used.set(self.world.now());
                         }
                     }
                     _ => return End::Left,
                 },
                 () = std::future::ready(()), if may_close || client.evicted.get() => return End::Done,
-                () = sleep_until(limit.unwrap_or_else(Instant::now)), if limit.is_some() => return End::Done,
+                () = self.world.sleep_until(limit.unwrap_or_else(|| self.world.now())), if limit.is_some() => return End::Done,
                 () = client.changed.notified() => {}
             }
         }
@@ -395,6 +396,62 @@
             command,
         })
     }
+
+    /// Writes answers in the order of the commands, each in one go.
+    async fn write_answers(
+        &self,
+        mut writer: <W::Stream as Stream>::Writer<'_>,
+        mut answers: mpsc::Receiver<Owed>,
+        client: &Client,
+    ) {
+        while let Some(owed) = answers.recv().await {
+            let bytes = match owed {
+                Owed::Now(bytes) | Owed::Last(bytes) => bytes,
+                Owed::Later(id, answer, _large) => {
+                    // The sender is never dropped without an answer; should it be, the client must not wait.
+                    let answer = answer.await.unwrap_or(Answer::Failed);
+                    client.waiting.borrow_mut().remove(&id);
+                    match answer {
+                        Answer::Served(bytes) => bytes,
+                        Answer::Refused(Some(after)) => {
+                            Bytes::from(format!("-BUSY {}\r\n", after.0.div_ceil(1_000)))
+                        }
+                        Answer::Refused(None) => Bytes::from_static(b"-BUSY\r\n"),
+                        Answer::Failed => Bytes::from_static(b"-ERR failed\r\n"),
+                    }
+                }
+            };
+            if !matches!(self.world.timeout(WRITE_LIMIT, writer.write_all(&bytes)).await, Ok(Ok(()))) {
+                return;
+            }
+            client.owed.set(client.owed.get() - 1);
+            client.used.set(self.world.now());
+            client.changed.notify_one();
+        }
+    }
+
+    /// Ends sending and reads on for a moment. Closed with bytes unread, a connection is reset, and what was last written
+    /// to it may be lost with that.
+    async fn drain(&self, mut stream: W::Stream) {
+        let all = async {
+            let (mut left, mut bytes) = (DRAIN_BYTES, [0; READ_SIZE]);
+            stream.shutdown().await?;
+            while let count @ 1.. = stream.read(&mut bytes).await? {
+                left = left.saturating_sub(count);
+                if left == 0 {
+                    break;
+                }
+            }
+            io::Result::Ok(())
+        };
+        // However it ends, the connection is closed now.
+        let _ = self.world.timeout(DRAIN_LIMIT, all).await;
+    }
+
+    /// Open connections.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
 }
 
 impl Client {
@@ -409,55 +466,9 @@
     }
 }
 
-/// Ends sending and reads on for a moment. Closed with bytes unread, a connection is reset, and what was last written
-/// to it may be lost with that.
-async fn drain(mut stream: TcpStream) {
-    let all = async {
-        let (mut left, mut bytes) = (DRAIN_BYTES, [0; READ_SIZE]);
-        stream.shutdown().await?;
-        while let count @ 1.. = stream.read(&mut bytes).await? {
-            left = left.saturating_sub(count);
-            if left == 0 {
-                break;
-            }
-        }
-        io::Result::Ok(())
-    };
-    // However it ends, the connection is closed now.
-    let _ = timeout(DRAIN_LIMIT, all).await;
-}
-
 /// A key as a number: its hex digits, or what its digest begins with; the same at every router.
 fn key_number(key: &[u8]) -> u64 {
     let digits = std::str::from_utf8(key).ok().filter(|text| text.len() == 16);
     let number = digits.and_then(|text| u64::from_str_radix(text, 16).ok());
     number.unwrap_or_else(|| u128::from_be_bytes(Md5::digest(key).into()) as u64)
 }
-
-/// Writes answers in the order of the commands, each in one go.
-async fn write_answers(mut writer: WriteHalf<'_>, mut answers: mpsc::Receiver<Owed>, client: &Client) {
-    while let Some(owed) = answers.recv().await {
-        let bytes = match owed {
-            Owed::Now(bytes) | Owed::Last(bytes) => bytes,
-            Owed::Later(id, answer, _large) => {
-                // The sender is never dropped without an answer; should it be, the client must not wait.
-                let answer = answer.await.unwrap_or(Answer::Failed);
-                client.waiting.borrow_mut().remove(&id);
-                match answer {
-                    Answer::Served(bytes) => bytes,
-                    Answer::Refused(Some(after)) => {
-                        Bytes::from(format!("-BUSY {}\r\n", after.0.div_ceil(1_000)))
-                    }
-                    Answer::Refused(None) => Bytes::from_static(b"-BUSY\r\n"),
-                    Answer::Failed => Bytes::from_static(b"-ERR failed\r\n"),
-                }
-            }
-        };
-        if !matches!(timeout(WRITE_LIMIT, writer.write_all(&bytes)).await, Ok(Ok(()))) {
-            return;
-        }
-        client.owed.set(client.owed.get() - 1);
-        client.used.set(Instant::now());
-        client.changed.notify_one();
-    }
-}
--- a/src/bin/asterport/discovery.rs
+++ b/crates/asterport-engine/src/discovery.rs
@@ -1,9 +1,11 @@
 //! Discovery: the list and the watch on it, as membership events.
 
 use crate::driver::Driver;
+use crate::seam::{Elapsed, World};
 use crate::servers::Servers;
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty};
+use hyper::client::conn::http1::SendRequest;
 use hyper::{Request, StatusCode, header};
 use hyper_util::rt::TokioIo;
 use onyxpick::params::Names;
@@ -14,9 +16,8 @@
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
+use std::time::{Duration, Instant};
 use tokio::sync::Notify;
-use tokio::time::{Duration, Instant, sleep, sleep_until, timeout, timeout_at};
 
 /// An empty line comes every 2 s at the least; a watch that misses two is dead. Guards against a discovery that
 /// vanished without a word, and leaves time to ask again before the router counts as told.
@@ -45,7 +46,8 @@
 }
 
 impl List {
-    pub fn len(&self) -> usize {
+    /// How many entries it has.
+    pub fn servers(&self) -> usize {
         self.hosts.len()
     }
 }
@@ -109,13 +111,14 @@
     }
 }
 
-pub struct Discovery {
+pub struct Discovery<W: World> {
+    world: W,
     addr: Cell<SocketAddr>,
     names: Rc<Names>,
     /// Lists come unasked: the module does not subscribe.
     pushed: bool,
-    driver: Rc<Driver>,
-    servers: Rc<Servers>,
+    driver: Rc<Driver<W>>,
+    servers: Rc<Servers<W>>,
     /// The version of the list that the router has, as counted by the discovery at `addr`.
     seq: Cell<u64>,
     /// The module waits for the answer to its call or counts as subscribed: it is owed the news of a loss.
@@ -130,27 +133,29 @@
 }
 
 impl Urgent {
-    fn from_now() -> Option<Urgent> {
-        Some(Urgent { until: Instant::now() + RELOAD_WINDOW, pause: RELOAD_PAUSE })
+    fn from(now: Instant) -> Option<Urgent> {
+        Some(Urgent { until: now + RELOAD_WINDOW, pause: RELOAD_PAUSE })
     }
 
     /// When to call again after a failed call, if that is still urgent.
-    fn next(&mut self) -> Option<Instant> {
-        let at = Instant::now() + self.pause;
+    fn next(&mut self, now: Instant) -> Option<Instant> {
+        let at = now + self.pause;
         self.pause *= 2;
         (at < self.until).then_some(at)
     }
 }
 
-impl Discovery {
+impl<W: World> Discovery<W> {
     pub fn new(
         addr: SocketAddr,
         names: Rc<Names>,
         pushed: bool,
-        driver: Rc<Driver>,
-        servers: Rc<Servers>,
-    ) -> Rc<Discovery> {
+        driver: Rc<Driver<W>>,
+        servers: Rc<Servers<W>>,
+        world: W,
+    ) -> Rc<Self> {
         Rc::new(Discovery {
+            world,
             addr: Cell::new(addr),
             names,
             pushed,
@@ -183,14 +188,14 @@
         loop {
             let due = async {
                 match next {
-                    Some(at) => sleep_until(at).await,
-                    None if self.pushed => sleep(REDIAL).await,
+                    Some(at) => self.world.sleep_until(at).await,
+                    None if self.pushed => self.world.sleep(REDIAL).await,
                     None => std::future::pending().await,
                 }
             };
             tokio::select! {
                 biased;
-                () = self.moved.notified() => urgent = Urgent::from_now(),
+                () = self.moved.notified() => urgent = Urgent::from(self.world.now()),
                 () = self.driver.subscribe.notified() => {
                     self.follows.set(true);
                     if next.is_some() {
@@ -202,16 +207,16 @@
             let told = Cell::new(false);
             next = match self.watch_until_moved(&told).await {
                 None => {
-                    urgent = Urgent::from_now();
-                    Some(Instant::now())
+                    urgent = Urgent::from(self.world.now());
+                    Some(self.world.now())
                 }
                 Some(error) => {
                     // One line for each outage, not for each call during one.
                     if told.get() || !lost_before {
-                        eprintln!("asterport: discovery: watch {error}");
+                        self.world.log(format_args!("discovery: watch {error}"));
                     }
                     lost_before = true;
-                    urgent.as_mut().filter(|_| !told.get()).and_then(Urgent::next)
+                    urgent.as_mut().filter(|_| !told.get()).and_then(|urgent| urgent.next(self.world.now()))
                 }
             };
             if next.is_none() {
@@ -240,20 +245,39 @@
 
     /// One watch, from its call to its end. Its first line answers the subscription.
     async fn watch(&self, told: &Cell<bool>) -> Result<std::convert::Infallible, WatchError> {
-        let late = |_| WatchError::Silent;
+        let late = |Elapsed| WatchError::Silent;
         let addr = self.addr.get();
-        let stream =
-            timeout(CONNECT_LIMIT, TcpStream::connect(addr)).await.map_err(late)?.map_err(WatchError::Io)?;
-        let answered_by = Instant::now() + ANSWER_LIMIT;
-        let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
-        let connection = tokio::task::spawn_local(connection);
+        let dial = self.world.timeout(CONNECT_LIMIT, self.world.connect(addr));
+        let stream = dial.await.map_err(late)?.map_err(WatchError::Io)?;
+        let answered_by = self.world.now() + ANSWER_LIMIT;
+        let (sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
         // The connection ends with this watch, however it ends.
-        let _guard = AbortOnDrop(connection.abort_handle());
+        let lines = self.lines(sender, addr, answered_by, told);
+        tokio::pin!(lines);
+        tokio::select! {
+            biased;
+            end = &mut lines => return end,
+            _ = connection => {}
+        }
+        // What came before the connection's end is still to be read.
+        lines.await
+    }
+
+    /// The call on a connection, and the lines of its answer.
+    async fn lines(
+        &self,
+        mut sender: SendRequest<Empty<Bytes>>,
+        addr: SocketAddr,
+        answered_by: Instant,
+        told: &Cell<bool>,
+    ) -> Result<std::convert::Infallible, WatchError> {
+        let late = |Elapsed| WatchError::Silent;
         let request = Request::get(format!("/api/targets?watch=1&after={}", self.seq.get()))
             .header(header::HOST, addr.to_string())
             .body(Empty::<Bytes>::new())
             .map_err(|error| WatchError::Line(error.to_string()))?;
-        let answer = timeout_at(answered_by, sender.send_request(request)).await.map_err(late)??;
+        let answer =
+            self.world.timeout_at(answered_by, sender.send_request(request)).await.map_err(late)??;
         if answer.status() != StatusCode::OK {
             return Err(WatchError::Status(answer.status()));
         }
@@ -262,11 +286,12 @@
         loop {
             let limit = match (self.pushed, told.get()) {
                 // An agent is silent while discovery is down.
-                (true, _) => Instant::now() + Duration::from_secs(3_600),
+                (true, _) => self.world.now() + Duration::from_secs(3_600),
                 (false, false) => answered_by,
-                (false, true) => Instant::now() + SILENCE,
+                (false, true) => self.world.now() + SILENCE,
             };
-            let frame = timeout_at(limit, body.frame()).await.map_err(late)?.ok_or(WatchError::Ended)??;
+            let frame = self.world.timeout_at(limit, body.frame()).await.map_err(late)?;
+            let frame = frame.ok_or(WatchError::Ended)??;
             let Ok(data) = frame.into_data() else { continue };
             buffer.extend_from_slice(&data);
             while let Some(end) = buffer.iter().position(|&byte| byte == b'\n') {
@@ -323,11 +348,3 @@
         self.driver.membership(kind.unwrap_or(told), members);
     }
 }
-
-struct AbortOnDrop(tokio::task::AbortHandle);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
-    }
-}
--- a/src/bin/asterport/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -3,7 +3,9 @@
 //! It owns the timers, the open requests and their attempts, and sees to it that each attempt ends once and each
 //! request has one final answer. It decides nothing.
 
+use crate::engine::Holdings;
 use crate::resp::Command;
+use crate::seam::World;
 use crate::servers::{Ended, Servers};
 use bytes::Bytes;
 use onyxpick::*;
@@ -11,25 +13,25 @@
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::rc::Rc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 use tokio::sync::{Notify, oneshot};
-use tokio::time::{Duration, Instant, sleep_until};
 
 /// One monotonic clock, set to Unix time at the start so that a cache server's start compares with it.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
+struct Clock<W> {
+    world: W,
     start: Instant,
     unix: Micros,
 }
 
-impl Clock {
-    pub fn new() -> Clock {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: Micros(unix.as_micros() as u64) }
+impl<W: World> Clock<W> {
+    fn new(world: W) -> Self {
+        let unix = Micros(world.unix_now().as_micros() as u64);
+        Clock { start: world.now(), unix, world }
     }
 
-    pub fn now(&self) -> Micros {
-        self.unix.plus(Micros(self.start.elapsed().as_micros() as u64))
+    fn now(&self) -> Micros {
+        let since = self.world.now().saturating_duration_since(self.start);
+        self.unix.plus(Micros(since.as_micros() as u64))
     }
 
     /// The instant of a point in time.
@@ -89,17 +91,17 @@
     timers: BinaryHeap<Reverse<(Instant, u64)>>,
 }
 
-pub struct Driver {
+pub struct Driver<W: World> {
     state: RefCell<State>,
-    servers: Rc<Servers>,
-    clock: Clock,
+    servers: Rc<Servers<W>>,
+    clock: Clock<W>,
     timer_set: Notify,
     /// The module asks for the list.
     pub subscribe: Notify,
 }
 
-impl Driver {
-    pub fn new(router: Router, servers: Rc<Servers>) -> Rc<Driver> {
+impl<W: World> Driver<W> {
+    pub fn new(router: Router, servers: Rc<Servers<W>>, world: W) -> Rc<Self> {
         let state = State {
             router,
             open: HashMap::new(),
@@ -112,7 +114,7 @@
         Rc::new(Driver {
             state: RefCell::new(state),
             servers,
-            clock: Clock::new(),
+            clock: Clock::new(world),
             timer_set: Notify::new(),
             subscribe: Notify::new(),
         })
@@ -164,14 +166,16 @@
     pub async fn run_timers(self: Rc<Self>) {
         loop {
             let next = self.state.borrow().timers.peek().map(|timer| timer.0.0);
+            let world = &self.clock.world;
             tokio::select! {
-                () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {}
+                biased;
+                () = world.sleep_until(next.unwrap_or_else(|| world.now())), if next.is_some() => {}
                 () = self.timer_set.notified() => continue,
             }
             loop {
                 let mut state = self.state.borrow_mut();
                 match state.timers.peek() {
-                    Some(Reverse((at, _))) if *at <= Instant::now() => {}
+                    Some(Reverse((at, _))) if *at <= world.now() => {}
                     _ => break,
                 }
                 let Some(Reverse((_, token))) = state.timers.pop() else { break };
@@ -210,12 +214,12 @@
             Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
             Action::Fail { id } => answer(state, id, Answer::Failed),
             Action::SetTimer { after, token } => {
-                state.timers.push(Reverse((Instant::now() + duration(after), token)));
+                state.timers.push(Reverse((self.clock.world.now() + duration(after), token)));
                 self.timer_set.notify_one();
             }
             Action::CloseIdle { server } => self.servers.close_idle(&server),
             Action::Subscribe => self.subscribe.notify_one(),
-            Action::Log(text) => eprintln!("asterport: {text}"),
+            Action::Log(text) => self.clock.world.log(format_args!("{text}")),
         }
     }
 
@@ -245,8 +249,9 @@
         open.attempts.push(Some(cancel));
         let work = self.servers.clone().attempt(server, open.command.clone(), self.clock.instant(until));
         let driver = self.clone();
-        tokio::task::spawn_local(async move {
+        self.clock.world.spawn(async move {
             let ended = tokio::select! {
+                biased;
                 ended = work => ended,
                 _ = cancelled => Outcome::Cancelled.into(),
             };
@@ -281,9 +286,12 @@
         }
     }
 
-    /// How many requests wait for their answer.
-    pub fn owed(&self) -> usize {
-        self.state.borrow().open.values().filter(|open| open.reply.is_some()).count()
+    /// What is remembered of requests.
+    pub fn holdings(&self) -> Holdings {
+        let state = self.state.borrow();
+        let (held, servers) = state.router.remembered();
+        let (open, timers) = (state.open.len(), state.timers.len());
+        Holdings { owed: state.named.len(), open, timers, held, servers, ..Holdings::default() }
     }
 }
 
--- /dev/null
+++ b/crates/asterport-engine/src/lib.rs
@@ -0,0 +1,17 @@
+//! The engine of the asterport router: requests, attempts, pools of connections, discovery and RESP2, on a seam of
+//! time and network.
+//!
+//! Facts from the sockets become events of the decision library, its actions become commands on connections. The
+//! engine decides nothing.
+
+mod clients;
+mod discovery;
+mod driver;
+mod engine;
+mod resp;
+pub mod seam;
+mod servers;
+pub mod service;
+
+pub use discovery::List;
+pub use engine::{Engine, Holdings, Start};
--- a/src/bin/asterport/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -1,18 +1,18 @@
 //! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
 
 use crate::resp::{Command, READ_SIZE, Reply, ReplyReader};
+use crate::seam::{Stream, World};
 use bytes::{Bytes, BytesMut};
 use onyxpick::{CacheNote, Link, Micros, Outcome, ServerId, ServerState};
-use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::{Duration, Instant, sleep_until, timeout_at};
 
 /// Idle connections are retired after this share of the time at which a cache server closes them: one written to
 /// just as it closes ends as a reset, which may have run.
@@ -50,23 +50,24 @@
 }
 
 /// The cache servers of the list, each with its idle connections.
-pub struct Servers {
-    pools: RefCell<HashMap<ServerId, Pool>>,
+pub struct Servers<W: World> {
+    world: W,
+    /// In the order of their names, so that equal days go alike.
+    pools: RefCell<BTreeMap<ServerId, Pool<W>>>,
     limits: Limits,
     room: Arc<Semaphore>,
-    opened: Cell<u64>,
 }
 
-struct Pool {
+struct Pool<W: World> {
     addr: SocketAddr,
     state: ServerState,
     born_ms: u64,
     /// The most recently used last.
-    idle: Vec<(Connection, Instant)>,
+    idle: Vec<(Connection<W>, Instant)>,
 }
 
-struct Connection {
-    stream: TcpStream,
+struct Connection<W: World> {
+    stream: W::Stream,
     received: BytesMut,
     /// Where it leads: `dial` may change while it is out.
     addr: SocketAddr,
@@ -75,26 +76,15 @@
     _room: OwnedSemaphorePermit,
 }
 
-impl Connection {
-    /// Whether nothing came on it while it was idle, neither an end nor a byte that no request waits for.
-    fn is_quiet(&self) -> bool {
-        let mut byte = [std::mem::MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
-        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
-    }
-
-    /// Acknowledges what came without the usual delay. A peer that writes in pieces may hold the next one back until
-    /// then: the rest of an answer, or what does not belong to it, which must not come with the next answer.
-    fn acknowledge(&self) {
-        // Where it can't be set, the kernel acknowledges a little later.
-        let _ = self.stream.set_quickack(true);
+impl<W: World> Servers<W> {
+    pub fn new(limits: Limits, world: W) -> Rc<Self> {
+        let room = Arc::new(Semaphore::new(limits.connections));
+        Rc::new(Servers { world, pools: RefCell::default(), limits, room })
     }
-}
 
-impl Servers {
-    pub fn new(limits: Limits) -> Rc<Servers> {
-        let room = Arc::new(Semaphore::new(limits.connections));
-        Rc::new(Servers { pools: RefCell::default(), limits, room, opened: Cell::new(0) })
+    /// Idle connections.
+    pub fn idle(&self) -> usize {
+        self.pools.borrow().values().map(|pool| pool.idle.len()).sum()
     }
 
     /// Takes one entry of the list. A new address or a new process leaves the old connections behind.
@@ -126,15 +116,19 @@
     /// Closes what has been idle for long, for as long as the program runs.
     pub async fn retire_idle(self: Rc<Self>) {
         loop {
-            tokio::time::sleep(Duration::from_millis(500)).await;
+            self.world.sleep(Duration::from_millis(500)).await;
             for pool in self.pools.borrow_mut().values_mut() {
-                pool.idle.retain(|(connection, since)| self.is_fresh(*since) && connection.is_quiet());
+                pool.idle.retain(|(connection, since)| self.is_fresh(*since) && connection.stream.is_quiet());
             }
         }
     }
 
+    fn age(&self, since: Instant) -> Duration {
+        self.world.now().saturating_duration_since(since)
+    }
+
     fn is_fresh(&self, since: Instant) -> bool {
-        since.elapsed() < self.limits.conn_idle.mul_f64(RETIRE_SHARE)
+        self.age(since) < self.limits.conn_idle.mul_f64(RETIRE_SHARE)
     }
 
     /// One attempt, from its connection to its outcome. Never longer than until `until`.
@@ -153,21 +147,21 @@
     async fn exchange(
         &self,
         server: &ServerId,
-        mut connection: Connection,
+        mut connection: Connection<W>,
         command: &Command,
         until: Instant,
     ) -> Ended {
         // Guards the drain grace: the list may have changed while the connection came up.
-        let wanted = |pool: &Pool| pool.state == ServerState::Ready && pool.addr == connection.addr;
+        let wanted = |pool: &Pool<W>| pool.state == ServerState::Ready && pool.addr == connection.addr;
         if !self.pools.borrow().get(server).is_some_and(wanted) {
             return Outcome::Void.into();
         }
-        let wait = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+        let wait = until.saturating_duration_since(self.world.now()).as_millis().max(1);
         let bytes = command.encode(wait as u64);
         let mut written = 0;
         while written < bytes.len() {
             // Broken or given up before the last byte: a cache server begins nothing that is not whole.
-            match timeout_at(until, connection.stream.write(&bytes[written..])).await {
+            match self.world.timeout_at(until, connection.stream.write(&bytes[written..])).await {
                 Ok(Ok(count)) if count > 0 => written += count,
                 _ => return Outcome::Unreachable.into(),
             }
@@ -177,7 +171,7 @@
 
     /// The answer to the one command that is out on the connection. What is no answer may have run, and ends the
     /// connection: nothing on it can be told apart any more. So does anything behind a good answer.
-    async fn read_answer(&self, server: &ServerId, mut connection: Connection, until: Instant) -> Ended {
+    async fn read_answer(&self, server: &ServerId, mut connection: Connection<W>, until: Instant) -> Ended {
         let mut reader = ReplyReader::default();
         let mut begun = false;
         let broken = |begun| Ended { begun, ..Outcome::Broken.into() };
@@ -194,13 +188,15 @@
             }
             // Guards against answers that never end: cache servers write an answer in one go.
             let pause = if reader.has_value() { REPORT_WAIT } else { self.limits.dial_timeout };
-            let limit = if begun { until.min(Instant::now() + pause) } else { until };
+            let limit = if begun { until.min(self.world.now() + pause) } else { until };
             let Connection { stream, received, .. } = &mut connection;
             received.reserve(READ_SIZE);
-            match timeout_at(limit, stream.read_buf(received)).await {
+            match self.world.timeout_at(limit, stream.read_buf(received)).await {
                 Ok(Ok(count)) if count > 0 => {
                     begun = true;
-                    connection.acknowledge();
+                    // A peer that writes in pieces may hold the next one back until then: the rest of an answer, or
+                    // what does not belong to it, which must not come with the next answer.
+                    connection.stream.acknowledge();
                 }
                 _ if reader.has_value() => return reader.served_without_report(received).into(),
                 Err(_) if limit == until => return Ended { begun, ..Outcome::TimedOut.into() },
@@ -211,33 +207,33 @@
 
     /// The idle connection used last but not just now, so that the others grow old and are retired; and how long it
     /// was idle.
-    fn idle_connection(&self, server: &ServerId) -> Option<(Connection, Duration)> {
+    fn idle_connection(&self, server: &ServerId) -> Option<(Connection<W>, Duration)> {
         let mut pools = self.pools.borrow_mut();
         let idle = &mut pools.get_mut(server)?.idle;
-        let is_settled = |(connection, since): &(Connection, Instant)| {
-            since.elapsed() >= QUIET_TIME + connection.round_trip
+        let is_settled = |(connection, since): &(Connection<W>, Instant)| {
+            self.age(*since) >= QUIET_TIME + connection.round_trip
         };
         while let Some(place) = idle.iter().rposition(is_settled) {
             let (connection, since) = idle.remove(place);
-            if self.is_fresh(since) && connection.is_quiet() {
-                return Some((connection, since.elapsed()));
+            if self.is_fresh(since) && connection.stream.is_quiet() {
+                return Some((connection, self.age(since)));
             }
         }
         None
     }
 
-    fn put_back(&self, server: &ServerId, mut connection: Connection) {
+    fn put_back(&self, server: &ServerId, mut connection: Connection<W>) {
         connection.received = BytesMut::new();
         let mut pools = self.pools.borrow_mut();
         let pool = pools.get_mut(server).filter(|pool| pool.addr == connection.addr);
         if let Some(pool) = pool {
-            pool.idle.push((connection, Instant::now()));
+            pool.idle.push((connection, self.world.now()));
         }
     }
 
-    async fn connect(&self, server: &ServerId, until: Instant) -> Result<Connection, Outcome> {
+    async fn connect(&self, server: &ServerId, until: Instant) -> Result<Connection<W>, Outcome> {
         let addr = self.pools.borrow().get(server).map(|pool| pool.addr).ok_or(Outcome::Void)?;
-        let limit = Instant::now() + self.limits.dial_timeout;
+        let limit = self.world.now() + self.limits.dial_timeout;
         let dial = async {
             let room = match self.room.clone().try_acquire_owned() {
                 Ok(room) => room,
@@ -246,18 +242,16 @@
                     self.room.clone().acquire_owned().await.map_err(io::Error::other)?
                 }
             };
-            let start = Instant::now();
-            let stream = TcpStream::connect(addr).await?;
-            stream.set_nodelay(true)?;
-            let round_trip = start.elapsed();
+            let start = self.world.now();
+            let stream = self.world.connect(addr).await?;
+            stream.set_nodelay()?;
+            let round_trip = self.age(start);
             io::Result::Ok(Connection { stream, received: BytesMut::new(), addr, round_trip, _room: room })
         };
         tokio::select! {
-            connection = dial => {
-                self.opened.set(self.opened.get() + 1);
-                connection.map_err(|_| Outcome::Unreachable)
-            }
-            () = sleep_until(limit.min(until)) => {
+            biased;
+            connection = dial => connection.map_err(|_| Outcome::Unreachable),
+            () = self.world.sleep_until(limit.min(until)) => {
                 Err(if limit <= until { Outcome::Unreachable } else { Outcome::TimedOut })
             }
         }
--- /dev/null
+++ b/crates/asterport-engine/src/service.rs
@@ -0,0 +1,85 @@
+//! The world in service: the machine's clocks, tokio's timers and tasks, real sockets.
+
+use crate::seam::{Stream, World};
+use std::fmt;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Connections that the kernel holds for the router until it takes them.
+const BACKLOG: u32 = 1024;
+
+/// The process itself. To be used within a [`tokio::task::LocalSet`] on a runtime with its drivers enabled.
+#[derive(Clone, Copy, Debug)]
+pub struct Service;
+
+impl World for Service {
+    type Stream = TcpStream;
+    type Listener = TcpListener;
+
+    fn now(&self) -> Instant {
+        Instant::now()
+    }
+
+    fn unix_now(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+
+    fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
+        tokio::time::sleep_until(at.into())
+    }
+
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        tokio::task::spawn_local(task);
+    }
+
+    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<TcpStream>> {
+        TcpStream::connect(to)
+    }
+
+    async fn accept(&self, listener: &TcpListener) -> io::Result<TcpStream> {
+        listener.accept().await.map(|(stream, _)| stream)
+    }
+
+    fn log(&self, line: fmt::Arguments<'_>) {
+        eprintln!("asterport: {line}");
+    }
+}
+
+impl Stream for TcpStream {
+    type Reader<'a> = ReadHalf<'a>;
+    type Writer<'a> = WriteHalf<'a>;
+
+    fn split(&mut self) -> (ReadHalf<'_>, WriteHalf<'_>) {
+        TcpStream::split(self)
+    }
+
+    fn set_nodelay(&self) -> io::Result<()> {
+        TcpStream::set_nodelay(self, true)
+    }
+
+    fn is_quiet(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(self).peek(&mut byte);
+        matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    fn acknowledge(&self) {
+        // Where it can't be set, the kernel acknowledges a little later.
+        let _ = self.set_quickack(true);
+    }
+}
+
+/// Binds so that a restart at the same address succeeds at once.
+///
+/// # Errors
+/// When the address cannot be had.
+pub fn listen(addr: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
--- a/tests/common/sockets.rs
+++ b/crates/asterport-testkit/src/lib.rs
@@ -1,4 +1,5 @@
 //! The real router against fake peers on loopback sockets: cache servers, discovery and clients on ephemeral ports.
+#![allow(missing_docs)] // The names say it, and only tests read them.
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -385,6 +386,13 @@
     pub folder: std::path::PathBuf,
 }
 
+/// The router's binary, where cargo builds it: one folder above that of the tests.
+fn program() -> std::path::PathBuf {
+    let test = std::env::current_exe().expect("the test's own path");
+    let folder = test.parent().and_then(std::path::Path::parent).expect("cargo's folder for binaries");
+    folder.join("asterport")
+}
+
 /// Starts the binary with a configuration, in a shell that first runs `before`.
 fn spawn(config: &str, before: &str) -> (Child, std::path::PathBuf) {
     static COUNT: std::sync::atomic::AtomicUsize = std::sync::atomic::AtomicUsize::new(0);
@@ -396,7 +404,7 @@
     let child = Command::new("/bin/sh")
         .arg("-c")
         .arg(format!("{before} exec \"$0\""))
-        .arg(env!("CARGO_BIN_EXE_asterport"))
+        .arg(program())
         .env("GW_CONFIG", &file)
         .env_remove("GW_LISTEN")
         .env_remove("GW_DISCOVERY")
--- a/src/bin/asterport/main.rs
+++ b/crates/asterport/src/main.rs
@@ -1,39 +1,18 @@
 //! asterport: a router on real sockets between the clients of a fleet of cache servers and its servers.
 //!
 //! The decisions are those of the library; this program translates them to connections.
-#![forbid(unsafe_code)]
 
-mod clients;
-mod discovery;
-mod driver;
-mod resp;
-mod servers;
-
-use clients::Clients;
-use discovery::{Discovery, List};
-use driver::{Driver, duration};
+use asterport_engine::service::{self, Service};
+use asterport_engine::{Engine, List, Start};
 use onyxpick::params::{self, Deployment};
-use onyxpick::{Discovery as Listing, Micros, Router};
 use serde::Deserialize;
 use serde_json::Value;
-use servers::Servers;
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Duration, timeout};
-
-/// Descriptors that are neither clients' nor cache servers': standard streams, the runtime's, the listener's,
-/// discovery's, and some to spare.
-const RESERVED: usize = 48;
-/// New connections go on coming for up to 0.4 s after SIGTERM.
-const STILL_ACCEPTING: Duration = Duration::from_millis(550);
-/// SIGKILL comes no sooner than the longest deadline and this much after SIGTERM.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// The program ends this long before.
-const EXIT_EARLY: Duration = Duration::from_millis(80);
 
 #[derive(Deserialize)]
 struct Config {
@@ -104,14 +83,14 @@
 
 /// Takes the file anew at each SIGHUP, for as long as the program runs. What the environment said at the start no
 /// longer counts then: the file was changed since. Of a running router only `discovery` can change.
-async fn reload(mut hangup: Signal, settings: Value, discovery: Rc<Discovery>) {
+async fn reload(mut hangup: Signal, settings: Value, engine: Rc<Engine<Service>>) {
     while hangup.recv().await.is_some() {
         match read_file().and_then(|config| config.deployment().map(|_| config)) {
             Ok(config) => {
                 let rest =
                     if config.settings == settings { "" } else { "; other settings at the next start" };
                 eprintln!("asterport: new configuration: discovery {}{rest}", config.discovery);
-                discovery.move_to(config.discovery);
+                engine.watch_at(config.discovery);
             }
             Err(problem) => eprintln!("asterport: the old configuration holds: {problem}"),
         }
@@ -154,54 +133,23 @@
     let hangup = signal(SignalKind::hangup()).map_err(|e| plainly("signals", e))?;
     let mut stop = signal(SignalKind::terminate()).map_err(|e| plainly("signals", e))?;
     let config = read_config()?;
-    let Deployment { settings, names, dial_timeout } = config.deployment()?;
+    let deployment = config.deployment()?;
     let seed =
         u64::from_str_radix(&config.seed, 16).map_err(|_| format!("seed: '{}' is not hex", config.seed))?;
-    let most = config.limits.sockets.saturating_sub(RESERVED) / 2;
-    if most == 0 {
-        return Err(format!("limits.sockets: {} is too few", config.limits.sockets));
-    }
-    let forever = Micros::from_millis(86_400_000);
-    let limits = servers::Limits {
-        dial_timeout: duration(dial_timeout.min(forever)),
-        conn_idle: duration(settings.connection_idle.min(forever)),
-        connections: most,
-    };
-    let classes = settings.classes.clone();
-    let longest = duration(classes.iter().map(|class| class.deadline).max().unwrap_or_default());
-    let pushed = settings.discovery == Listing::Push;
-    let router = Router::new(settings, seed).map_err(|e| e.to_string())?;
-
-    let listener = clients::listen(config.listen).map_err(|e| plainly(&config.listen.to_string(), e))?;
-    let names = Rc::new(names);
-    let servers = Servers::new(limits);
-    let driver = Driver::new(router, servers.clone());
-    let discovery = Discovery::new(config.discovery, names.clone(), pushed, driver.clone(), servers.clone());
     let known = config.known.unwrap_or_default();
+    let (count, discovery, sockets) = (known.servers(), config.discovery, config.limits.sockets);
+    let engine = Rc::new(Engine::new(Service, Start { deployment, seed, discovery, known, sockets })?);
+    let listener = service::listen(config.listen).map_err(|e| plainly(&config.listen.to_string(), e))?;
     let addr = listener.local_addr().map_err(|e| plainly("listener", e))?;
-    eprintln!("asterport: {} on {addr}, {} servers known", config.name, known.len());
-    // Before the first client is answered, so that no request finds an empty ring.
-    discovery.known(known);
-    spawn_local(discovery.clone().run());
-    spawn_local(reload(hangup, config.settings, discovery));
-    spawn_local(driver.clone().run_timers());
-    spawn_local(servers.retire_idle());
-    let clients = Clients::new(driver.clone(), names, classes, most);
-    spawn_local(clients.clone().close_resting());
-    tokio::select! {
-        () = clients.accept(&listener) => {}
-        _ = stop.recv() => {}
-    }
-
-    // Those that come now are served too: the front hears of the end only by and by.
-    let _ = timeout(STILL_ACCEPTING, clients.accept(&listener)).await;
-    drop(listener);
-    let left = (longest + KILL_MARGIN).saturating_sub(STILL_ACCEPTING + EXIT_EARLY);
-    let closed = timeout(left, clients.close()).await;
-    let owed = driver.owed();
+    eprintln!("asterport: {} on {addr}, {count} servers known", config.name);
+    spawn_local(reload(hangup, config.settings, engine.clone()));
+    let stopped = async {
+        stop.recv().await;
+    };
+    let owed = engine.run(listener, stopped).await;
     eprintln!(
         "asterport: stopped, {}",
-        if closed.is_ok() { "all answered".into() } else { format!("{owed} owed") }
+        if owed == 0 { "all answered".into() } else { format!("{owed} owed") }
     );
     Ok(())
 }
--- a/tests/router_clients.rs
+++ b/crates/asterport/tests/router_clients.rs
@@ -1,8 +1,6 @@
 //! Clients of the router: what they send, and what they may hold. The real binary against fake peers on loopback sockets.
 
-mod common;
-
-use common::sockets::*;
+use asterport_testkit::*;
 use std::time::Instant;
 
 #[test]
--- a/tests/router_discovery.rs
+++ b/crates/asterport/tests/router_discovery.rs
@@ -1,8 +1,6 @@
 //! The list of cache servers as the router has it. The real binary against fake peers on loopback sockets.
 
-mod common;
-
-use common::sockets::*;
+use asterport_testkit::*;
 
 /// The ways in which a watch is lost; each is followed by a new call, which goes on from the last version.
 #[test]
--- a/tests/router_servers.rs
+++ b/crates/asterport/tests/router_servers.rs
@@ -1,8 +1,6 @@
 //! Attempts at cache servers: connections, outcomes and what goes on the wire. The real binary against fake peers on loopback sockets.
 
-mod common;
-
-use common::sockets::*;
+use asterport_testkit::*;
 use std::time::Instant;
 
 #[test]
--- a/tests/router_signals.rs
+++ b/crates/asterport/tests/router_signals.rs
@@ -1,8 +1,6 @@
 //! Start, SIGHUP, SIGTERM and end of the router. The real binary against fake peers on loopback sockets.
 
-mod common;
-
-use common::sockets::*;
+use asterport_testkit::*;
 use std::time::Instant;
 
 #[test]
--- a/tests/common/mod.rs
+++ b/crates/onyxpick/tests/common/mod.rs
@@ -1,8 +1,6 @@
 //! A router with its list, clock and actions, as an embedding program would hold it.
 #![allow(dead_code)]
 
-pub mod sockets;
-
 use onyxpick::*;
 
 pub fn ms(millis: u64) -> Micros {
--- a/tests/all.sh
+++ b/tests/all.sh
@@ -5,14 +5,15 @@
 for part in rustfmt clippy; do
     cargo "${part/rust/}" --version >/dev/null 2>&1 || rustup component add "$part"
 done
-cargo fmt --check
-cargo clippy --locked --all-targets -- -D warnings
-RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --quiet
-cargo test --locked
+cargo fmt --all --check
+cargo clippy --locked --workspace --all-targets -- -D warnings
+RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
+cargo test --locked --workspace
 cargo build --release --locked
-cargo run --release --locked --quiet --example two_routers
+cargo run --release --locked --quiet -p onyxpick --example two_routers
 
-lines=$(grep -c '[^[:space:]]' src/balance.rs)
-widest=$(awk '{ if (length($0) > w) w = length($0) } END { print w }' src/balance.rs)
-echo "src/balance.rs: $lines lines (720 at most), widest $widest columns (110 at most)"
+policy=crates/onyxpick/src/balance.rs
+lines=$(grep -c '[^[:space:]]' "$policy")
+widest=$(awk '{ if (length($0) > w) w = length($0) } END { print w }' "$policy")
+echo "$policy: $lines lines (720 at most), widest $widest columns (110 at most)"
 [ "$lines" -le 720 ] && [ "$widest" -le 110 ]
