A rig for the cost of the ordinary path: CPU and system calls a request

Need: the seam must cost nothing in service, and that has to be measured.

Change: crates/asterport-testkit/examples/ordinary_path.rs, 16 clients of 50 requests a second each against eight stand-ins, CPU from the scheduler's account of the process, calls counted by a tracer.

--- /dev/null
+++ b/crates/asterport-testkit/examples/ordinary_path.rs
@@ -0,0 +1,58 @@
+//! What a request costs the router: CPU, and with `strace` at hand its system calls. Reads, unpipelined, all hits.
+//!
+//! ```text
+//! ASTERPORT_PROGRAM=target/release/asterport cargo run --release -p asterport-testkit --example ordinary_path
+//! ```
+//! A first argument sets how many requests each of the 16 clients sends (500), a second one `strace` counts calls.
+
+use asterport_testkit::{Client, Server, router_of};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+const CLIENTS: usize = 16;
+/// Each client sends one request in this time.
+const PACE: Duration = Duration::from_millis(20);
+
+fn ask_all(addr: std::net::SocketAddr, each: usize) {
+    let work = |number: usize| {
+        let mut client = Client::connect(addr);
+        let start = Instant::now();
+        for round in 0..each {
+            let key = format!("{:016x}", (number * 7919 + round * 104_729) % 200);
+            assert!(client.ask("read", &key).contains("s-"), "served");
+            let next = start + PACE * (round as u32 + 1);
+            std::thread::sleep(next.saturating_duration_since(Instant::now()));
+        }
+    };
+    std::thread::scope(|scope| {
+        for number in 0..CLIENTS {
+            scope.spawn(move || work(number));
+        }
+    });
+}
+
+fn main() {
+    let mut args = std::env::args().skip(1);
+    let each: usize = args.next().map_or(500, |text| text.parse().expect("a number of requests"));
+    let servers: Vec<Server> = (0..8).map(|i| Server::start(&format!("s-{i}"))).collect();
+    let (router, _discovery) = router_of(&servers.iter().collect::<Vec<_>>());
+    ask_all(router.addr, 50);
+    let mut tracer = args.next().map(|tool| {
+        let pid = router.pid().to_string();
+        let child = Command::new(tool).args(["-c", "-f", "-p", &pid]).stderr(Stdio::piped()).spawn();
+        std::thread::sleep(Duration::from_millis(500));
+        child.expect("the tracer starts")
+    });
+    let (before, count) = (router.cpu_ns(), CLIENTS * each);
+    ask_all(router.addr, each);
+    let used = router.cpu_ns() - before;
+    drop(router);
+    if let Some(tracer) = tracer.take() {
+        let output = tracer.wait_with_output().expect("its table");
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        let total = text.lines().rev().find(|line| line.ends_with("total")).unwrap_or("no total");
+        println!("{text}\n{count} requests; calls in all: {total}");
+    } else {
+        println!("{count} requests, {:.2} us of CPU each", used as f64 / 1e3 / count as f64);
+    }
+}
--- a/crates/asterport-testkit/src/lib.rs
+++ b/crates/asterport-testkit/src/lib.rs
@@ -386,8 +386,11 @@
     pub folder: std::path::PathBuf,
 }
 
-/// The router's binary, where cargo builds it: one folder above that of the tests.
+/// The router's binary: what `ASTERPORT_PROGRAM` names, else where cargo builds it, one folder above the tests.
 fn program() -> std::path::PathBuf {
+    if let Some(path) = std::env::var_os("ASTERPORT_PROGRAM") {
+        return path.into();
+    }
     let test = std::env::current_exe().expect("the test's own path");
     let folder = test.parent().and_then(std::path::Path::parent).expect("cargo's folder for binaries");
     folder.join("asterport")
@@ -471,6 +474,16 @@
         self.signal("HUP");
     }
 
+    /// The CPU time that it has used, in nanoseconds.
+    pub fn cpu_ns(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/schedstat", self.child.id())).expect("its time");
+        text.split_whitespace().next().and_then(|number| number.parse().ok()).expect("a number")
+    }
+
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// How many descriptors it holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
