--- /dev/null
+++ b/crates/asterport-sim/src/fleet.rs
@@ -0,0 +1,333 @@
+//! Stand-ins for the cache servers and their origin, as PROTOCOL has them: queues, cold starts, kept keys, a memory of
+//! keyed writes, and the troubles that a plan wants of them.
+
+use crate::dice::Dice;
+use crate::exec::{Exec, Node, Time};
+use crate::judge::{Judge, capacity};
+use crate::net::{Net, SimStream};
+use crate::plan::{MILLI, Plan, SECOND, ServerPlan};
+use crate::wire::{Call, Frames, Spoken, value_for};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// What is wrong with a server at the moment; shares of its requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Trouble {
+    /// Failed at once.
+    pub errors: f64,
+    /// Spoilt after they have run.
+    pub spoils: f64,
+    /// Turned away.
+    pub full: f64,
+    /// Taken, and never answered.
+    pub hangs: bool,
+    /// Times as long as usual, less one.
+    pub slow: f64,
+}
+
+/// A cache server.
+pub struct Server {
+    /// Its number.
+    pub index: usize,
+    /// Its name on the list.
+    pub name: String,
+    /// Its machine.
+    pub node: Node,
+    /// Where it listens.
+    pub addr: SocketAddr,
+    plan: ServerPlan,
+    fleet: Rc<Shared>,
+    /// When its process started, as the list has it; 0 for long ago.
+    pub born_ms: Cell<u64>,
+    started: Cell<Time>,
+    /// What is wrong with it.
+    pub trouble: Cell<Trouble>,
+    /// It finishes what it has and wants nothing new.
+    pub drains: Cell<bool>,
+    slots: RefCell<Vec<Time>>,
+    waiting: Cell<usize>,
+    kept: RefCell<BTreeMap<Vec<u8>, Time>>,
+    idle: RefCell<Vec<(u32, Rc<tokio::sync::Notify>)>>,
+}
+
+/// What all servers share.
+pub struct Shared {
+    exec: Exec,
+    net: Net,
+    judge: Rc<RefCell<Judge>>,
+    dice: RefCell<Dice>,
+    plan: Rc<Plan>,
+    origin: RefCell<Vec<Time>>,
+    /// Times as long as usual, less one.
+    pub origin_slow: Cell<f64>,
+    /// Keyed requests by zone and key: when they ran.
+    ran: RefCell<BTreeMap<String, Time>>,
+    works: BTreeMap<u64, (f64, usize)>,
+    routers: RefCell<BTreeMap<Node, usize>>,
+}
+
+/// Origin fetches beyond this many for each of its slots are turned away.
+const ORIGIN_QUEUE: usize = 6;
+/// How long a key is kept.
+const KEEPS: Time = 8 * SECOND;
+
+impl Shared {
+    /// For the servers of a plan.
+    pub fn new(exec: Exec, net: Net, judge: Rc<RefCell<Judge>>, plan: Rc<Plan>) -> Rc<Shared> {
+        let works = plan.asks.iter().map(|ask| (u64::from(ask.number), (ask.work, ask.size))).collect();
+        Rc::new(Shared {
+            exec,
+            net,
+            judge,
+            dice: RefCell::new(Dice::new(plan.seed, 4)),
+            origin: RefCell::new(vec![0; plan.origin_slots]),
+            origin_slow: Cell::new(0.0),
+            ran: RefCell::default(),
+            works,
+            routers: RefCell::default(),
+            plan,
+        })
+    }
+
+    /// This machine is that of a router.
+    pub fn router(&self, node: Node, router: usize) {
+        self.routers.borrow_mut().insert(node, router);
+    }
+
+    /// When a fetch that begins now is there; none if the origin turns it away.
+    fn fetch(&self) -> Option<Time> {
+        let now = self.exec.now();
+        let time = self.plan.origin_time as f64 * (1.0 + self.origin_slow.get());
+        let time = (time * self.dice.borrow_mut().between(0.6, 1.5)) as Time;
+        let mut slots = self.origin.borrow_mut();
+        let slot = slots.iter_mut().min()?;
+        let start = (*slot).max(now);
+        if start > now + time * ORIGIN_QUEUE as Time {
+            return None;
+        }
+        *slot = start + time;
+        Some(*slot)
+    }
+}
+
+/// What a request comes to.
+enum Done {
+    Served { miss: bool },
+    Failed,
+    Busy,
+}
+
+impl Server {
+    /// A server that does not run yet.
+    pub fn new(index: usize, node: Node, addr: SocketAddr, plan: ServerPlan, fleet: Rc<Shared>) -> Rc<Server> {
+        Rc::new(Server {
+            index,
+            name: format!("s-{index:02}"),
+            node,
+            addr,
+            slots: RefCell::new(vec![0; plan.slots]),
+            plan,
+            fleet,
+            born_ms: Cell::new(0),
+            started: Cell::new(0),
+            trouble: Cell::default(),
+            drains: Cell::new(false),
+            waiting: Cell::new(0),
+            kept: RefCell::default(),
+            idle: RefCell::default(),
+        })
+    }
+
+    /// Starts its process: a cold one if the list is to say when.
+    pub fn start(self: &Rc<Self>, born_ms: u64) {
+        let now = self.fleet.exec.now();
+        self.born_ms.set(born_ms);
+        self.started.set(now);
+        self.drains.set(false);
+        *self.slots.borrow_mut() = vec![0; self.plan.slots];
+        self.waiting.set(0);
+        self.kept.borrow_mut().clear();
+        self.idle.borrow_mut().clear();
+        if born_ms > 0 {
+            let plan = &self.fleet.plan;
+            let mut judge = self.fleet.judge.borrow_mut();
+            judge.server_started(now, self.index, born_ms, plan.cold_from, plan.cold_time);
+        }
+        let listener = self.fleet.net.listen(self.node, self.addr);
+        let server = self.clone();
+        self.fleet.exec.spawn(self.node, async move {
+            while let Ok(stream) = listener.accept().await {
+                let work = server.clone().serve(stream);
+                server.fleet.exec.spawn(server.node, work);
+            }
+        });
+    }
+
+    /// Ends its process.
+    pub fn kill(&self, vanishes: bool) {
+        self.fleet.net.kill(self.node, vanishes);
+    }
+
+    /// Resets the connections that carry nothing now.
+    pub fn reset_idle(&self) {
+        self.idle.borrow_mut().drain(..).for_each(|(_, reset)| reset.notify_one());
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: SimStream) {
+        let (exec, plan) = (&self.fleet.exec, &self.fleet.plan);
+        let router = self.fleet.routers.borrow().get(&stream.peer()).copied().unwrap_or(0);
+        let (mut frames, mut buffer, mut is_new) = (Frames::default(), vec![0; 4096], true);
+        loop {
+            let reset = Rc::new(tokio::sync::Notify::new());
+            self.idle.borrow_mut().push((stream.id(), reset.clone()));
+            let frame = loop {
+                match frames.next(exec.now()) {
+                    Ok(Some((frame, _))) => break frame,
+                    Ok(None) => {}
+                    Err(_) => return,
+                }
+                let count = tokio::select! {
+                    biased;
+                    read = stream.read(&mut buffer) => read.unwrap_or(0),
+                    () = reset.notified(), if frames.rest() == 0 => return stream.reset(),
+                    () = exec.sleep(plan.conn_idle) => 0,
+                };
+                if count == 0 {
+                    return;
+                }
+                frames.feed(exec.now(), &buffer[..count]);
+            };
+            let id = stream.id();
+            self.idle.borrow_mut().retain(|idle| idle.0 != id);
+            if std::mem::take(&mut is_new) {
+                exec.sleep(plan.handshake).await;
+            }
+            let Spoken::Call(call) = Spoken::of(&frame) else {
+                let _ = stream.write_all(b"-SYNTAX\r\n").await;
+                return;
+            };
+            if self.trouble.get().hangs {
+                // It reads on, so that it hears of the end.
+                while !matches!(stream.read(&mut buffer).await, Ok(0) | Err(_)) {}
+                return;
+            }
+            let done = self.work(&call, router).await;
+            let spoils = self.trouble.get().spoils;
+            let answer = if spoils > 0.0 && self.fleet.dice.borrow_mut().chance(spoils) {
+                self.spoilt(&call)
+            } else {
+                self.answer(&call, &done)
+            };
+            if stream.write_all(&answer).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, call: &Call, done: &Done) -> Vec<u8> {
+        match done {
+            Done::Served { miss } => {
+                let size = self.fleet.works.get(&number_of(call.id)).map_or(0, |ask| ask.1);
+                let value = value_for(call.id, &self.name, size);
+                let mut out = format!("*3\r\n${}\r\n", value.len()).into_bytes();
+                out.extend_from_slice(&value);
+                out.extend_from_slice(if *miss { b"\r\n$4\r\nmiss\r\n$-1\r\n" } else { b"\r\n$3\r\nhit\r\n$-1\r\n" });
+                out
+            }
+            Done::Failed => b"-ERR failed\r\n".to_vec(),
+            Done::Busy => b"-BUSY\r\n".to_vec(),
+        }
+    }
+
+    /// Something that is no row of the protocol's table, or brings more than belongs to it.
+    fn spoilt(&self, call: &Call) -> Vec<u8> {
+        let good = self.answer(call, &Done::Served { miss: false });
+        match self.fleet.dice.borrow_mut().place(6) {
+            0 => b"*3\r\n$99999\r\nnoise".to_vec(),
+            1 => b"%what\r\n".to_vec(),
+            2 => good[..good.len() / 2].to_vec(),
+            3 => [&good[..], &good[..]].concat(),
+            4 => [&good[..], b"-noise"].concat(),
+            _ => b"*3\r\n$3000000000\r\n".to_vec(),
+        }
+    }
+
+    /// One request, from its last byte to its end.
+    async fn work(&self, call: &Call, router: usize) -> Done {
+        let (fleet, trouble) = (&self.fleet, self.trouble.get());
+        let (exec, now) = (&fleet.exec, fleet.exec.now());
+        let mean = fleet.plan.mean_work;
+        let (work, _) = fleet.works.get(&number_of(call.id)).copied().unwrap_or((mean, 0));
+        if fleet.judge.borrow_mut().work_arrived(now, self.index, router, work / self.plan.speed) {
+            let (net, node) = (fleet.net.clone(), self.node);
+            // A process does not end within itself.
+            exec.call_at(now, move || net.kill(node, false));
+            return std::future::pending().await;
+        }
+        let (errors, full) = {
+            let mut dice = fleet.dice.borrow_mut();
+            (dice.chance(trouble.errors), dice.chance(trouble.full))
+        };
+        if self.drains.get() || full {
+            return Done::Busy;
+        }
+        if errors {
+            exec.sleep(2 * MILLI).await;
+            return Done::Failed;
+        }
+        if let Some(once) = &call.once {
+            let scope = if call.class == "zona" { self.plan.zone } else { usize::MAX };
+            let name = format!("{scope}/{once}");
+            let ran = fleet.ran.borrow().get(&name).copied();
+            if ran.is_some_and(|at| at + fleet.plan.memory > now) {
+                // Dropped as a repeat: the receipt is the same.
+                return Done::Served { miss: false };
+            }
+            fleet.ran.borrow_mut().insert(name, now);
+        }
+        let miss = call.write || self.kept.borrow().get(&call.key).is_none_or(|&until| until < now);
+        if miss {
+            let Some(there) = fleet.fetch() else {
+                exec.sleep(MILLI).await;
+                return Done::Failed;
+            };
+            exec.sleep_until(there).await;
+            let until = exec.now() + KEEPS;
+            if call.write {
+                self.kept.borrow_mut().remove(&call.key);
+            } else {
+                self.kept.borrow_mut().insert(call.key.clone(), until);
+            }
+        }
+        let Some(end) = self.slot(work, trouble.slow) else { return Done::Busy };
+        self.waiting.set(self.waiting.get() + 1);
+        exec.sleep_until(end).await;
+        self.waiting.set(self.waiting.get().saturating_sub(1));
+        Done::Served { miss }
+    }
+
+    /// When work that comes now is done; none if the queue is full.
+    fn slot(&self, work: f64, slow: f64) -> Option<Time> {
+        if self.waiting.get() >= self.plan.slots + self.plan.queue {
+            return None;
+        }
+        let now = self.fleet.exec.now();
+        let plan = &self.fleet.plan;
+        let mut slots = self.slots.borrow_mut();
+        let count = slots.len() as f64;
+        let slot = slots.iter_mut().min()?;
+        let start = (*slot).max(now);
+        let age = start - self.started.get();
+        let part = if self.born_ms.get() == 0 { 1.0 } else { capacity(plan.cold_from, plan.cold_time, age) };
+        *slot = start + (work * count / (self.plan.speed * part) * (1.0 + slow)) as Time;
+        Some(*slot)
+    }
+}
+
+/// The number in the plan of the request that an id belongs to.
+pub fn number_of(id: u64) -> u64 {
+    id >> 8
+}
--- /dev/null
+++ b/crates/asterport-sim/src/judge.rs
@@ -0,0 +1,886 @@
+//! The judge: it sees what passes on the wire, and facts of the world that no router sees, and holds both against the
+//! four rules of the protocol after every step. It shares nothing with the router's logic.
+//!
+//! The rules' times are kept to the microsecond: the simulated sockets have none of the noise for which the protocol
+//! allows real ones 50 ms.
+
+use crate::exec::{Node, Time};
+use crate::net::{Leaving, Observer, Side};
+use crate::wire::{self, Answer, Call, Frames, Spoken};
+use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+/// How many of the steps that touched a request a breach is shown with.
+const SHOWN: usize = 50;
+
+/// What discovery has to tell counts as told so much later, whether or not it arrived.
+const DEEMED_TOLD: Time = 6_000_000;
+
+/// The rules of the protocol, and what else every run must keep.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    /// 1: whatever a running router has taken gets exactly one final answer in time, and nothing goes out after it.
+    Answered,
+    /// 2: no effect happens twice.
+    Effects,
+    /// 3: nothing new for a server that drains or is gone.
+    Drains,
+    /// 4: no cold server is pushed over.
+    Cold,
+    /// All settles once faults have ended.
+    Liveness,
+    /// Descriptors and memory are bounded.
+    Bounds,
+}
+
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Rule::Answered => "rule 1, every request answered once and in time",
+            Rule::Effects => "rule 2, no effect twice",
+            Rule::Drains => "rule 3, drains kept",
+            Rule::Cold => "rule 4, no cold server pushed over",
+            Rule::Liveness => "liveness, all settles once faults end",
+            Rule::Bounds => "bounds on what is held",
+        })
+    }
+}
+
+/// A rule that was not kept.
+#[derive(Clone, Debug)]
+pub struct Breach {
+    /// Which.
+    pub rule: Rule,
+    /// When.
+    pub time: Time,
+    /// At which step of the day.
+    pub step: u64,
+    /// Whose request, if it is about one.
+    pub request: Option<u64>,
+    /// What was seen.
+    pub text: String,
+    /// The last steps that touched the request.
+    pub steps: Vec<String>,
+}
+
+/// Whether a request may run twice, as the protocol has it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// Any number of times.
+    Safe,
+    /// Its repeats are dropped by a group of servers for so long.
+    Keyed(Group, Time),
+    /// Never.
+    Unsafe,
+}
+
+/// Which servers drop each other's repeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// All.
+    All,
+    /// Those of one zone.
+    Zone,
+}
+
+/// The figures that the judge goes by.
+#[derive(Clone, Debug)]
+pub struct Figures {
+    /// Each class by its name.
+    pub classes: BTreeMap<String, Effect>,
+    /// A final answer may come this much after the client's time is up.
+    pub answer_grace: Time,
+    /// A send to a draining server may come this much after the router was told.
+    pub drain_grace: Time,
+    /// Attempts of one request.
+    pub max_attempts: usize,
+    /// Two attempts of one request may be out together.
+    pub second_copies: bool,
+    /// A cold server falls over when sent more than this multiple of its present capacity ...
+    pub fall_multiple: f64,
+    /// ... for this long.
+    pub fall_time: Time,
+    /// Work beyond that which chance may bring, in microseconds.
+    pub fall_slack: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fate {
+    Out,
+    NeverRan,
+    MayHaveRan,
+}
+
+#[derive(Debug)]
+struct Attempt {
+    conn: u32,
+    server: usize,
+    whole_at: Time,
+    fate: Fate,
+    /// Its connection is still open at the router.
+    is_open: bool,
+}
+
+#[derive(Debug)]
+struct Asked {
+    router: usize,
+    effect: Effect,
+    conn: u32,
+    /// How long its client waits, from when its last byte is at the router's machine.
+    wait: Time,
+    /// The end of that time; unknown before it has arrived.
+    deadline: Time,
+    /// When its last byte came to the router's machine.
+    arrived: Option<Time>,
+    attempts: Vec<Attempt>,
+    answered: Option<Time>,
+    /// The client or the router is gone: nothing more is owed.
+    is_over: bool,
+}
+
+/// What a client waits for on a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Owed {
+    Pong,
+    Request(u64),
+    /// Something that a client should not send: an error or an end is owed.
+    Anything,
+}
+
+#[derive(Default)]
+struct ToClient {
+    router: usize,
+    asked: Frames,
+    answers: Frames,
+    owed: VecDeque<Owed>,
+    /// For each command still on its way: the bytes up to its end, and whose it is.
+    on_the_way: VecDeque<(usize, u64)>,
+    written: usize,
+    arrived: usize,
+    last_answer: Time,
+    /// The router has begun to leave.
+    is_left: bool,
+    /// What the client sends cannot be read: it is not judged further.
+    is_rude: bool,
+}
+
+#[derive(Default)]
+struct ToServer {
+    router: usize,
+    server: usize,
+    calls: Frames,
+    replies: Frames,
+    /// Bytes that the server has written and that have not come to the router.
+    coming: VecDeque<u8>,
+    current: Option<u64>,
+    spoilt: bool,
+}
+
+#[derive(Default)]
+struct ToDiscovery {
+    router: usize,
+    /// Bytes that discovery has written and that have not come to the router.
+    coming: VecDeque<u8>,
+    text: Vec<u8>,
+}
+
+enum Line {
+    Client(ToClient),
+    Server(ToServer),
+    Discovery(ToDiscovery),
+    Other,
+}
+
+/// What a machine is to the judge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// A router, by its number.
+    Router(usize),
+    /// A cache server, by its number.
+    Server(usize),
+    /// Clients.
+    Client,
+    /// Discovery.
+    Discovery,
+}
+
+/// What a router was told of a server.
+#[derive(Clone, Copy, Debug)]
+struct Told {
+    /// Since when it counts as draining or gone.
+    out_since: Option<Time>,
+    born: u64,
+}
+
+/// A cache server's process as the world knows it.
+#[derive(Debug, Default)]
+struct Process {
+    born: u64,
+    started: Time,
+    cold_from: f64,
+    cold_time: Time,
+    /// Work that arrived while it was cold: when, how much, from whom.
+    arrived: VecDeque<(Time, f64, usize)>,
+    has_fallen: bool,
+}
+
+impl Process {
+    /// The part of its capacity that it has at this time.
+    fn capacity(&self, at: Time) -> f64 {
+        capacity(self.cold_from, self.cold_time, at.saturating_sub(self.started))
+    }
+}
+
+/// The part of its capacity that a server has so long after its start: it rises evenly.
+pub fn capacity(cold_from: f64, cold_time: Time, age: Time) -> f64 {
+    if age >= cold_time { 1.0 } else { cold_from + (1.0 - cold_from) * age as f64 / cold_time as f64 }
+}
+
+struct Step {
+    time: Time,
+    conn: u32,
+    request: Option<u64>,
+    text: String,
+}
+
+/// Counts of what passed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Requests that a router took.
+    pub taken: u64,
+    /// Those served.
+    pub served: u64,
+    /// Those refused.
+    pub refused: u64,
+    /// Those failed.
+    pub failed: u64,
+    /// Attempts at cache servers.
+    pub attempts: u64,
+    /// Connections between routers and cache servers.
+    pub connections: u64,
+}
+
+/// See the module.
+pub struct Judge {
+    figures: Figures,
+    roles: Vec<Role>,
+    server_names: BTreeMap<String, usize>,
+    server_zones: Vec<usize>,
+    lines: BTreeMap<u32, Line>,
+    requests: HashMap<u64, Asked>,
+    /// Requests that wait for their answer, by when it is due.
+    due: BTreeSet<(Time, u64)>,
+    told: BTreeMap<(usize, usize), Told>,
+    /// What the list said lately: from when it counts as told, of which server, what.
+    listed: VecDeque<(Time, usize, bool, u64)>,
+    /// What the list says now.
+    latest: BTreeMap<usize, (bool, u64)>,
+    processes: Vec<Process>,
+    step: u64,
+    digest: DefaultHasher,
+    trace: Vec<Step>,
+    keeps_trace: bool,
+    /// What passed.
+    pub counts: Counts,
+    /// What was not kept, at most a few.
+    pub breaches: Vec<Breach>,
+    /// Requests that a router took since the calm began, and those of them served.
+    pub calm: Option<(Time, u64, u64)>,
+}
+
+impl Judge {
+    /// A judge of a world with these servers: their names and zones.
+    pub fn new(figures: Figures, servers: &[(String, usize)], keeps_trace: bool) -> Judge {
+        Judge {
+            figures,
+            roles: Vec::new(),
+            server_names: servers.iter().enumerate().map(|(i, server)| (server.0.clone(), i)).collect(),
+            server_zones: servers.iter().map(|server| server.1).collect(),
+            lines: BTreeMap::new(),
+            requests: HashMap::new(),
+            due: BTreeSet::new(),
+            told: BTreeMap::new(),
+            listed: VecDeque::new(),
+            latest: BTreeMap::new(),
+            processes: servers.iter().map(|_| Process::default()).collect(),
+            step: 0,
+            digest: DefaultHasher::new(),
+            trace: Vec::new(),
+            keeps_trace,
+            counts: Counts::default(),
+            breaches: Vec::new(),
+            calm: None,
+        }
+    }
+
+    /// The next machine of the network is this.
+    pub fn machine(&mut self, role: Role) {
+        self.roles.push(role);
+    }
+
+    /// Steps so far.
+    pub fn steps(&self) -> u64 {
+        self.step
+    }
+
+    /// A number that is equal for equal days.
+    pub fn digest(&self) -> u64 {
+        self.digest.finish()
+    }
+
+    /// The whole trace, if it was kept.
+    pub fn trace(&self) -> impl Iterator<Item = String> + '_ {
+        self.trace.iter().enumerate().map(|(step, seen)| shown(step as u64 + 1, seen))
+    }
+
+    fn take_step(&mut self, time: Time, conn: u32, kind: u8, bytes: &[u8]) {
+        self.deem_told(time);
+        self.step += 1;
+        (time, conn, kind).hash(&mut self.digest);
+        self.digest.write(bytes);
+        self.overdue(time);
+    }
+
+    fn note(&mut self, time: Time, conn: u32, request: Option<u64>, text: impl FnOnce() -> String) {
+        if self.keeps_trace {
+            self.trace.push(Step { time, conn, request, text: text() });
+        }
+    }
+
+    /// Records a breach.
+    pub fn breach(&mut self, rule: Rule, time: Time, request: Option<u64>, text: String) {
+        if self.breaches.len() >= 8 {
+            return;
+        }
+        let conns: BTreeSet<u32> = match request.and_then(|id| self.requests.get(&id)) {
+            Some(asked) => {
+                asked.attempts.iter().map(|attempt| attempt.conn).chain([asked.conn]).collect()
+            }
+            None => BTreeSet::new(),
+        };
+        let touched = |step: &&(usize, &Step)| {
+            request.is_none() || step.1.request == request || (step.1.request.is_none() && conns.contains(&step.1.conn))
+        };
+        let numbered: Vec<(usize, &Step)> = self.trace.iter().enumerate().collect();
+        let mut steps: Vec<String> =
+            numbered.iter().rev().filter(touched).take(SHOWN).map(|(i, seen)| shown(*i as u64 + 1, seen)).collect();
+        steps.reverse();
+        self.breaches.push(Breach { rule, time, step: self.step, request, text, steps });
+    }
+
+    // ---- facts of the world
+
+    /// A router starts, and its configuration holds this list.
+    pub fn router_started(&mut self, now: Time, router: usize, known: &str) {
+        self.told.retain(|&(other, _), _| other != router);
+        self.hear(now, router, known, true);
+        self.take_step(now, 0, 1, &[router as u8]);
+        self.note(now, 0, None, || format!("router {router} starts"));
+    }
+
+    /// A router's process dies: what it held is its clients' to retry.
+    pub fn router_died(&mut self, now: Time, router: usize) {
+        let theirs: Vec<u64> = self
+            .requests
+            .iter()
+            .filter(|(_, asked)| asked.router == router && asked.answered.is_none())
+            .map(|(&id, _)| id)
+            .collect();
+        theirs.into_iter().for_each(|id| self.over(id));
+        for line in self.lines.values_mut() {
+            match line {
+                Line::Client(line) if line.router == router => line.is_left = true,
+                _ => {}
+            }
+        }
+        self.take_step(now, 0, 2, &[router as u8]);
+        self.note(now, 0, None, || format!("router {router} dies"));
+    }
+
+    /// A cache server's process starts, with this part of its capacity, and is warm after so long.
+    pub fn server_started(&mut self, now: Time, server: usize, born: u64, cold_from: f64, cold_time: Time) {
+        let (arrived, has_fallen) = (VecDeque::new(), false);
+        self.processes[server] = Process { born, started: now, cold_from, cold_time, arrived, has_fallen };
+        self.take_step(now, 0, 3, &[server as u8]);
+        self.note(now, 0, None, || format!("server {server} starts"));
+    }
+
+    /// Work arrived at a cache server, in microseconds of a warm server's whole capacity; whether that pushes it over.
+    pub fn work_arrived(&mut self, now: Time, server: usize, router: usize, work: f64) -> bool {
+        let (fall_time, multiple, slack) =
+            (self.figures.fall_time, self.figures.fall_multiple, self.figures.fall_slack);
+        let process = &mut self.processes[server];
+        if process.has_fallen || process.born == 0 || now.saturating_sub(process.started) >= process.cold_time {
+            return false;
+        }
+        process.arrived.push_back((now, work, router));
+        while process.arrived.front().is_some_and(|&(at, ..)| at + fall_time < now) {
+            process.arrived.pop_front();
+        }
+        let since = process.started.max(now.saturating_sub(fall_time));
+        let middle = (process.capacity(since) + process.capacity(now)) / 2.0;
+        let allowed = multiple * middle * fall_time as f64 + slack;
+        let sum: f64 = process.arrived.iter().map(|arrived| arrived.1).sum();
+        if sum <= allowed {
+            return false;
+        }
+        process.has_fallen = true;
+        let born = process.born;
+        let arrived = std::mem::take(&mut process.arrived);
+        let knew = |router: usize| self.told.get(&(router, server)).is_some_and(|told| told.born == born);
+        let known: f64 = arrived.iter().filter(|arrived| knew(arrived.2)).map(|arrived| arrived.1).sum();
+        if known >= sum * 2.0 / 3.0 {
+            let text = format!(
+                "server {server}, {} ms after its start: {:.0} ms of work within {} ms where {:.0} ms push it over, {:.0} ms of it from routers that knew",
+                now.saturating_sub(self.processes[server].started) / 1_000,
+                sum / 1e3,
+                fall_time / 1_000,
+                allowed / 1e3,
+                known / 1e3
+            );
+            self.breach(Rule::Cold, now, None, text);
+        }
+        true
+    }
+
+    /// The list says something of a server from now on; what it says counts as told so much later at the latest.
+    pub fn listed(&mut self, now: Time, server: usize, up: bool, born: u64) {
+        self.listed.push_back((now + DEEMED_TOLD, server, up, born));
+        self.latest.insert(server, (up, born));
+        self.take_step(now, 0, 4, &[server as u8]);
+    }
+
+    /// What counts as told by now, whether or not it arrived.
+    fn deem_told(&mut self, now: Time) {
+        while let Some(&(at, server, up, born)) = self.listed.front().filter(|listed| listed.0 <= now) {
+            self.listed.pop_front();
+            let routers: BTreeSet<usize> = self.told.keys().map(|told| told.0).collect();
+            for router in routers {
+                let told = self.told.entry((router, server)).or_insert(Told { out_since: None, born });
+                // News from a later list stands.
+                if told.born <= born && !up && self.latest.get(&server) == Some(&(up, born)) {
+                    told.out_since = told.out_since.or(Some(at));
+                }
+            }
+        }
+    }
+
+    // ---- requests
+
+    fn over(&mut self, id: u64) {
+        if let Some(asked) = self.requests.get_mut(&id) {
+            asked.is_over = true;
+            self.due.remove(&(asked.deadline + self.figures.answer_grace, id));
+        }
+    }
+
+    /// Those whose time is up without an answer.
+    fn overdue(&mut self, now: Time) {
+        while let Some(&(due, id)) = self.due.first().filter(|&&(due, _)| due < now) {
+            self.due.remove(&(due, id));
+            let Some(asked) = self.requests.get(&id) else { continue };
+            if asked.answered.is_some() || asked.is_over {
+                continue;
+            }
+            // The time for which it waits for those before it does not count.
+            let waits = match self.lines.get(&asked.conn) {
+                Some(Line::Client(line)) => line.owed.front().is_some_and(|&first| first != Owed::Request(id)),
+                _ => false,
+            };
+            if !waits {
+                self.over(id);
+                self.breach(Rule::Answered, now, Some(id), "no answer when its time was up".into());
+            }
+        }
+    }
+
+    /// A client has written a whole command.
+    fn asked(&mut self, conn: u32, router: usize, call: &Call) -> Option<u64> {
+        let effect = *self.figures.classes.get(&call.class)?;
+        if self.requests.contains_key(&call.id) {
+            return None;
+        }
+        let (wait, deadline) = (call.wait_ms * 1_000, Time::MAX / 2);
+        let (arrived, attempts, answered, is_over) = (None, Vec::new(), None, false);
+        let asked = Asked { router, effect, conn, wait, deadline, arrived, attempts, answered, is_over };
+        self.requests.insert(call.id, asked);
+        Some(call.id)
+    }
+
+    fn answer(&mut self, now: Time, conn: u32, owed: Option<Owed>, answer: &Answer, last_answer: Time) {
+        let id = match owed {
+            None => {
+                self.breach(Rule::Answered, now, None, format!("an answer that nobody waits for, on connection {conn}"));
+                return;
+            }
+            Some(Owed::Pong | Owed::Anything) => return,
+            Some(Owed::Request(id)) => id,
+        };
+        let grace = self.figures.answer_grace;
+        let Some(asked) = self.requests.get_mut(&id) else { return };
+        asked.answered = Some(now);
+        self.due.remove(&(asked.deadline + grace, id));
+        let late = now.saturating_sub(asked.deadline.max(last_answer));
+        let may_have_run = asked.attempts.iter().any(|attempt| attempt.fate != Fate::NeverRan);
+        let (effect, came) = (asked.effect, asked.deadline);
+        if let Some((since, taken, served)) = &mut self.calm
+            && came >= *since
+        {
+            *taken += 1;
+            *served += u64::from(matches!(answer, Answer::Served(_)));
+        }
+        if late > grace {
+            self.breach(Rule::Answered, now, Some(id), format!("answered {late} us after its time was up"));
+        }
+        match answer {
+            Answer::Served(value) => {
+                self.counts.served += 1;
+                if wire::made_for(value) != Some(id) {
+                    self.breach(Rule::Answered, now, Some(id), "served with a value that was not made for it".into());
+                }
+            }
+            Answer::Refused(_) => {
+                self.counts.refused += 1;
+                if effect == Effect::Unsafe && may_have_run
+                    || matches!(effect, Effect::Keyed(Group::Zone, _)) && may_have_run
+                {
+                    self.breach(Rule::Effects, now, Some(id), "refused as harmless to repeat, but it may have run".into());
+                }
+            }
+            Answer::Failed => self.counts.failed += 1,
+        }
+    }
+
+    // ---- attempts
+
+    /// A router's first byte of a command for a server.
+    fn send_begun(&mut self, now: Time, router: usize, server: usize) {
+        let grace = self.figures.drain_grace;
+        let out_since = self.told.get(&(router, server)).and_then(|told| told.out_since);
+        if let Some(since) = out_since.filter(|&since| now > since + grace) {
+            let text = format!("router {router} sends to server {server} {} us after it was told that it drains or is gone", now - since);
+            self.breach(Rule::Drains, now, None, text);
+        }
+    }
+
+    /// A router has written a whole command for a server.
+    fn sent(&mut self, now: Time, conn: u32, router: usize, server: usize, call: &Call) {
+        self.counts.attempts += 1;
+        let id = call.id;
+        let Some(asked) = self.requests.get(&id) else {
+            self.breach(Rule::Answered, now, Some(id), "sent on, but nobody asked for it".into());
+            return;
+        };
+        let mut found = Vec::new();
+        if asked.router != router {
+            found.push((Rule::Answered, "sent on by another router than was asked".to_string()));
+        }
+        if let Some(at) = asked.answered {
+            found.push((Rule::Answered, format!("sent to server {server} {} us after its final answer", now - at)));
+        }
+        let ran = asked.attempts.iter().find(|attempt| attempt.fate != Fate::NeverRan);
+        let zone = |server: usize| self.server_zones[server];
+        match (asked.effect, ran) {
+            (Effect::Unsafe, Some(_)) => {
+                found.push((Rule::Effects, "an unsafe request sent again that may have run".to_string()));
+            }
+            (Effect::Keyed(group, memory), Some(first)) => {
+                if group == Group::Zone && zone(first.server) != zone(server) {
+                    found.push((Rule::Effects, "a keyed request sent outside its group".to_string()));
+                }
+                let age = now - first.whole_at;
+                if age > memory {
+                    found.push((Rule::Effects, format!("a keyed request sent again {} us after its memory ended", age - memory)));
+                }
+            }
+            _ => {}
+        }
+        if asked.attempts.len() >= self.figures.max_attempts {
+            found.push((Rule::Effects, "more attempts than are allowed".to_string()));
+        }
+        let out = asked.attempts.iter().any(|attempt| attempt.fate == Fate::Out && attempt.is_open);
+        if out && !self.figures.second_copies {
+            found.push((Rule::Effects, "two attempts out together where that is not allowed".to_string()));
+        }
+        for (rule, text) in found {
+            self.breach(rule, now, Some(id), text);
+        }
+        let attempt = Attempt { conn, server, whole_at: now, fate: Fate::Out, is_open: true };
+        if let Some(asked) = self.requests.get_mut(&id) {
+            asked.attempts.push(attempt);
+        }
+    }
+
+    fn attempt_on(&mut self, conn: u32, id: u64) -> Option<&mut Attempt> {
+        self.requests.get_mut(&id)?.attempts.iter_mut().rev().find(|attempt| attempt.conn == conn)
+    }
+
+    // ---- lists
+
+    /// A list, or changes to one, that counts as told to a router now.
+    fn hear(&mut self, now: Time, router: usize, line: &str, is_whole: bool) {
+        let Ok(list) = serde_json::from_str::<serde_json::Value>(line) else { return };
+        let whole = is_whole || list["whole"].as_bool().unwrap_or(false);
+        let mut listed = BTreeSet::new();
+        for host in list["hosts"].as_array().into_iter().flatten() {
+            let Some(&server) = host["host"].as_str().and_then(|name| self.server_names.get(name)) else { continue };
+            listed.insert(server);
+            let (up, born) = (host["health"] == "up", host["born_ms"].as_u64().unwrap_or(0));
+            let told = self.told.entry((router, server)).or_insert(Told { out_since: None, born });
+            told.born = born;
+            told.out_since = if up { None } else { told.out_since.or(Some(now)) };
+        }
+        if whole {
+            for server in 0..self.processes.len() {
+                if let Some(told) = self.told.get_mut(&(router, server)).filter(|_| !listed.contains(&server)) {
+                    told.out_since = told.out_since.or(Some(now));
+                }
+            }
+        }
+    }
+
+    // ---- lines
+
+    fn client_wrote(&mut self, now: Time, conn: u32, line: &mut ToClient, bytes: &[u8]) {
+        line.written += bytes.len();
+        if line.is_rude {
+            return;
+        }
+        line.asked.feed(now, bytes);
+        loop {
+            let frame = match line.asked.next(now) {
+                Ok(Some((frame, _))) => frame,
+                Ok(None) => return,
+                Err(_) => {
+                    line.is_rude = true;
+                    line.owed.push_back(Owed::Anything);
+                    return;
+                }
+            };
+            let owed = match Spoken::of(&frame) {
+                Spoken::Call(call) => match self.asked(conn, line.router, &call) {
+                    Some(id) => {
+                        line.on_the_way.push_back((line.written - line.asked.rest(), id));
+                        self.note(now, conn, Some(id), || format!("client asks: {call:?}"));
+                        Owed::Request(id)
+                    }
+                    None => Owed::Anything,
+                },
+                Spoken::Ping => Owed::Pong,
+                Spoken::Other => Owed::Anything,
+            };
+            line.owed.push_back(owed);
+        }
+    }
+
+    fn router_answered(&mut self, now: Time, conn: u32, line: &mut ToClient, bytes: &[u8]) {
+        line.answers.feed(now, bytes);
+        loop {
+            match line.answers.next(now) {
+                Ok(Some((frame, _))) => {
+                    let (owed, answer) = (line.owed.pop_front(), Answer::of(&frame));
+                    let id = match owed {
+                        Some(Owed::Request(id)) => Some(id),
+                        _ => None,
+                    };
+                    self.note(now, conn, id, || match &answer {
+                        Answer::Served(value) => format!("router answers: served, {} bytes", value.len()),
+                        answer => format!("router answers: {answer:?}"),
+                    });
+                    self.answer(now, conn, owed, &answer, line.last_answer);
+                    line.last_answer = now;
+                }
+                Ok(None) => return,
+                Err(_) => {
+                    if !line.is_rude {
+                        self.breach(Rule::Answered, now, None, "an answer that is no RESP2".into());
+                    }
+                    line.is_rude = true;
+                    return;
+                }
+            }
+        }
+    }
+
+    fn client_line_ended(&mut self, now: Time, conn: u32, line: &mut ToClient, by_router: bool) {
+        let owed: Vec<u64> = line
+            .owed
+            .iter()
+            .filter_map(|owed| match owed {
+                Owed::Request(id) => Some(*id),
+                Owed::Pong | Owed::Anything => None,
+            })
+            .collect();
+        let had_left = std::mem::replace(&mut line.is_left, true);
+        for id in owed {
+            let Some(asked) = self.requests.get(&id) else { continue };
+            let (arrived, sent_on) = (asked.arrived, !asked.attempts.is_empty());
+            let is_lost = by_router && !had_left && !asked.is_over && !line.is_rude
+                // What crosses the router's closing on the way is sent once more by its client.
+                && (arrived.is_some_and(|at| at < now) || sent_on);
+            self.over(id);
+            if is_lost {
+                self.breach(Rule::Answered, now, Some(id), format!("lost: the router ended connection {conn} without its answer"));
+            }
+        }
+    }
+
+    fn router_wrote(&mut self, now: Time, conn: u32, line: &mut ToServer, bytes: &[u8]) {
+        if line.calls.rest() == 0 {
+            self.send_begun(now, line.router, line.server);
+        }
+        line.calls.feed(now, bytes);
+        while let Ok(Some((frame, _))) = line.calls.next(now) {
+            if let Spoken::Call(call) = Spoken::of(&frame) {
+                self.note(now, conn, Some(call.id), || {
+                    format!("router {} sends to server {}: d={}", line.router, line.server, call.wait_ms)
+                });
+                self.sent(now, conn, line.router, line.server, &call);
+                line.current = Some(call.id);
+            }
+        }
+    }
+
+    fn router_heard(&mut self, now: Time, conn: u32, line: &mut ToServer, count: usize) {
+        let bytes: Vec<u8> = line.coming.drain(..count.min(line.coming.len())).collect();
+        if line.spoilt {
+            return;
+        }
+        line.replies.feed(now, &bytes);
+        loop {
+            let frame = match line.replies.next(now) {
+                Ok(Some((frame, _))) => frame,
+                Ok(None) => return,
+                Err(_) => {
+                    line.spoilt = true;
+                    return;
+                }
+            };
+            let Some(id) = line.current.take() else { return };
+            let answer = Answer::of(&frame);
+            self.note(now, conn, Some(id), || match &answer {
+                Answer::Served(_) => format!("server {} has served it", line.server),
+                answer => format!("server {} has answered: {answer:?}", line.server),
+            });
+            let fate = if matches!(answer, Answer::Refused(_)) { Fate::NeverRan } else { Fate::MayHaveRan };
+            if let Some(attempt) = self.attempt_on(conn, id) {
+                attempt.fate = fate;
+            }
+        }
+    }
+
+    fn server_line_ended(&mut self, conn: u32, line: &mut ToServer) {
+        if let Some(attempt) = line.current.and_then(|id| self.attempt_on(conn, id)) {
+            attempt.is_open = false;
+            if attempt.fate == Fate::Out {
+                attempt.fate = Fate::MayHaveRan;
+            }
+        }
+    }
+
+    fn router_told(&mut self, now: Time, line: &mut ToDiscovery, count: usize) {
+        line.text.extend(line.coming.drain(..count.min(line.coming.len())));
+        while let Some(end) = line.text.iter().position(|&byte| byte == b'\n') {
+            let text: Vec<u8> = line.text.drain(..=end).collect();
+            if text.first() == Some(&b'{')
+                && let Ok(text) = std::str::from_utf8(&text)
+            {
+                let router = line.router;
+                self.hear(now, router, text, false);
+            }
+        }
+    }
+
+    fn with_line(&mut self, conn: u32, act: impl FnOnce(&mut Judge, &mut Line)) {
+        if let Some(mut line) = self.lines.remove(&conn) {
+            act(self, &mut line);
+            self.lines.insert(conn, line);
+        }
+    }
+}
+
+fn shown(step: u64, seen: &Step) -> String {
+    let request = seen.request.map_or(String::new(), |id| format!(" {id:016x}"));
+    format!("{step:>6} {:>10} us conn {:<4}{request} {}", seen.time, seen.conn, seen.text)
+}
+
+impl Observer for Judge {
+    fn opened(&mut self, now: Time, conn: u32, dialer: Node, listener: Node) {
+        self.take_step(now, conn, 10, &[dialer.0 as u8, listener.0 as u8]);
+        let line = match (self.roles[dialer.0 as usize], self.roles[listener.0 as usize]) {
+            (Role::Client, Role::Router(router)) => Line::Client(ToClient { router, ..ToClient::default() }),
+            (Role::Router(router), Role::Server(server)) => {
+                self.counts.connections += 1;
+                Line::Server(ToServer { router, server, ..ToServer::default() })
+            }
+            (Role::Router(router), Role::Discovery) => {
+                Line::Discovery(ToDiscovery { router, ..ToDiscovery::default() })
+            }
+            _ => Line::Other,
+        };
+        self.note(now, conn, None, || format!("opened, {:?} to {:?}", dialer, listener));
+        self.lines.insert(conn, line);
+    }
+
+    fn written(&mut self, now: Time, conn: u32, side: Side, bytes: &[u8]) {
+        self.take_step(now, conn, 11 + side as u8, bytes);
+        self.with_line(conn, |judge, line| match (line, side) {
+            (Line::Client(line), Side::Dialer) => judge.client_wrote(now, conn, line, bytes),
+            (Line::Client(line), Side::Listener) => judge.router_answered(now, conn, line, bytes),
+            (Line::Server(line), Side::Dialer) => judge.router_wrote(now, conn, line, bytes),
+            (Line::Server(line), Side::Listener) => line.coming.extend(bytes),
+            (Line::Discovery(line), Side::Listener) => line.coming.extend(bytes),
+            (Line::Discovery(_), Side::Dialer) | (Line::Other, _) => {}
+        });
+    }
+
+    fn delivered(&mut self, now: Time, conn: u32, side: Side, count: usize) {
+        self.take_step(now, conn, 13 + side as u8, &count.to_le_bytes());
+        self.with_line(conn, |judge, line| match (line, side) {
+            (Line::Client(line), Side::Dialer) => {
+                line.arrived += count;
+                while let Some(&(_, id)) = line.on_the_way.front().filter(|ask| ask.0 <= line.arrived) {
+                    line.on_the_way.pop_front();
+                    if let Some(asked) = judge.requests.get_mut(&id).filter(|asked| !line.is_left && !asked.is_over) {
+                        asked.arrived = Some(now);
+                        asked.deadline = now + asked.wait;
+                        judge.due.insert((asked.deadline + judge.figures.answer_grace, id));
+                        judge.counts.taken += 1;
+                        judge.note(now, conn, Some(id), || "its last byte is at the router's machine".into());
+                    }
+                }
+            }
+            (Line::Server(line), Side::Listener) => judge.router_heard(now, conn, line, count),
+            (Line::Discovery(line), Side::Listener) => judge.router_told(now, line, count),
+            _ => {}
+        });
+    }
+
+    fn left(&mut self, now: Time, conn: u32, side: Side, how: Leaving) {
+        self.take_step(now, conn, 15 + side as u8, &[how as u8]);
+        self.note(now, conn, None, || format!("{side:?} leaves: {how:?}"));
+        self.with_line(conn, |judge, line| match (line, side) {
+            (Line::Client(line), side) => judge.client_line_ended(now, conn, line, side == Side::Listener),
+            (Line::Server(line), Side::Dialer) => judge.server_line_ended(conn, line),
+            _ => {}
+        });
+    }
+
+    fn end_delivered(&mut self, now: Time, conn: u32, side: Side) {
+        self.take_step(now, conn, 17 + side as u8, &[]);
+        self.with_line(conn, |judge, line| {
+            if let (Line::Server(line), Side::Listener) = (line, side) {
+                judge.server_line_ended(conn, line);
+            }
+        });
+    }
+
+    fn out_of_descriptors(&mut self, now: Time, node: Node) {
+        self.take_step(now, 0, 19, &[node.0 as u8]);
+        if let Role::Router(router) = self.roles[node.0 as usize] {
+            self.breach(Rule::Bounds, now, None, format!("router {router} runs out of descriptors"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/asterport-sim/src/play.rs
@@ -0,0 +1,502 @@
+//! Plays a plan: the real engine as every router, stand-ins for all else, faults at their times, the judge throughout.
+
+use crate::UNIX_START;
+use crate::clients::{Clients, Manner};
+use crate::dice::Dice;
+use crate::discovery::{Discovery, Health};
+use crate::exec::{Exec, Node, Time};
+use crate::fleet::{Server, Shared, Trouble};
+use crate::judge::{Breach, Counts, Effect as Judged, Figures, Group as JudgedGroup, Judge, Role, Rule};
+use crate::net::{Net, Observer, SimWorld};
+use crate::plan::{Ask, CLASSES, Fault, Kind, MILLI, Plan, SECOND};
+use asterport_engine::{Engine, List, Start};
+use onyxpick::params::{Deployment, Names};
+use onyxpick::{
+    Class, Discovery as Listing, Effect, Group, Limits, Micros, Rules, Settings, Tenant, Weights, ZoneId,
+};
+use std::cell::{Cell, RefCell};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::rc::Rc;
+use tokio::sync::Notify;
+
+/// What a day came to.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Its seed.
+    pub seed: u64,
+    /// Equal for equal days.
+    pub digest: u64,
+    /// Steps on the wire.
+    pub steps: u64,
+    /// What passed.
+    pub counts: Counts,
+    /// Of the requests taken once all was calm: how many, and how many of them were served.
+    pub calm: (u64, u64),
+    /// What was not kept.
+    pub breaches: Vec<Breach>,
+    /// What passed, step by step, if that was wanted.
+    pub trace: Vec<String>,
+}
+
+/// From so many requests on, the share of served ones in the calm tells.
+const CALM_REQUESTS: u64 = 20;
+/// The least share of them that must be served.
+const CALM_SERVED: f64 = 0.5;
+/// What the protocol leaves a router after SIGTERM, beside its longest deadline.
+const KILL_MARGIN: Time = 700 * MILLI;
+/// The module asks for the list again after each loss: one timer may always be set.
+const RESTING_TIMERS: usize = 1;
+
+/// Of what a day is to keep for those who look at it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Keep {
+    /// The verdict alone.
+    Verdict,
+    /// Every step.
+    Trace,
+}
+
+/// Plays a plan up to this step or to its end.
+pub fn play(plan: &Plan, keep: Keep) -> Report {
+    let plan = Rc::new(plan.clone());
+    let exec = Exec::new(Dice::new(plan.seed, 5));
+    let names: Vec<(String, usize)> =
+        plan.servers.iter().enumerate().map(|(i, server)| (format!("s-{i:02}"), server.zone)).collect();
+    let judge = Rc::new(RefCell::new(Judge::new(figures(&plan), &names, keep == Keep::Trace)));
+    let observer: Rc<RefCell<dyn Observer>> = judge.clone();
+    let net = Net::new(exec.clone(), observer, plan.weather, Dice::new(plan.seed, 6));
+    let day = Day::set_up(&plan, &exec, &net, &judge);
+    day.schedule_faults();
+    day.schedule_asks();
+    judge.borrow_mut().calm = Some((plan.calm_from, 0, 0));
+    exec.run_until(plan.ends());
+    day.check_end();
+    let report = report(&plan, &mut judge.borrow_mut());
+    exec.end();
+    report
+}
+
+fn report(plan: &Plan, judge: &mut Judge) -> Report {
+    let (_, taken, served) = judge.calm.unwrap_or_default();
+    Report {
+        seed: plan.seed,
+        digest: judge.digest(),
+        steps: judge.steps(),
+        counts: judge.counts,
+        calm: (taken, served),
+        breaches: std::mem::take(&mut judge.breaches),
+        trace: judge.trace().collect(),
+    }
+}
+
+fn figures(plan: &Plan) -> Figures {
+    let effects = [
+        Judged::Safe,
+        Judged::Keyed(JudgedGroup::All, plan.memory),
+        Judged::Keyed(JudgedGroup::Zone, plan.memory),
+        Judged::Unsafe,
+    ];
+    Figures {
+        classes: CLASSES.iter().map(|name| (*name).to_string()).zip(effects).collect(),
+        answer_grace: 20 * MILLI,
+        drain_grace: 250 * MILLI,
+        max_attempts: 5,
+        second_copies: plan.second_copies,
+        fall_multiple: plan.fall_multiple,
+        fall_time: plan.fall_time,
+        fall_slack: 6.0 * plan.mean_work,
+    }
+}
+
+fn deployment(plan: &Plan, zone: usize) -> Deployment {
+    let memory = Micros(plan.memory);
+    let class = |place: usize, effect: Effect| Class {
+        aim: Micros(plan.aim),
+        deadline: Micros(plan.aim * if place == 0 { 5 } else { 6 } / 2),
+        worth: if place == 0 { 1.0 } else { 8.0 },
+        late_worth: 0.5,
+        effect,
+    };
+    let settings = Settings {
+        routers: plan.routers.len() as u32,
+        zone: Some(ZoneId(zone)),
+        classes: vec![
+            class(0, Effect::Safe),
+            class(1, Effect::Keyed { group: Group::All, memory }),
+            class(2, Effect::Keyed { group: Group::Zone, memory }),
+            class(3, Effect::Unsafe),
+        ],
+        tenants: vec![Tenant { quota_per_s: 30.0, share: 0.5 }; 2],
+        over_quota_worth: 0.2,
+        discovery: Listing::Subscribe { ask_within: Micros(10 * SECOND) },
+        weights: Weights::Rough,
+        rules: Rules {
+            answer_grace: Micros(20 * MILLI),
+            drain_grace: Micros(250 * MILLI),
+            cold_share: plan.cold_share,
+            cold_time: Micros(plan.cold_time),
+            fall_multiple: plan.fall_multiple,
+            fall_time: Micros(plan.fall_time),
+            drain_close: None,
+        },
+        limits: Limits {
+            max_attempts: 5,
+            cancel: true,
+            second_copies: plan.second_copies,
+            retry_after: true,
+            max_retry_after: Micros(SECOND),
+        },
+        connection_idle: Micros(plan.conn_idle),
+        ..Settings::default()
+    };
+    let text = |names: &[&str]| names.iter().map(|name| (*name).to_string()).collect();
+    let names = Names {
+        classes: text(&CLASSES),
+        tenants: text(&["t0", "t1"]),
+        zones: text(&["z0", "z1", "z2"]),
+        kinds: text(&["m"]),
+    };
+    Deployment { settings, names, dial_timeout: Micros(plan.dial_timeout) }
+}
+
+fn addr(net: u8, index: usize, port: u16) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, net, 0, index as u8 + 1), port))
+}
+
+struct RouterProcess {
+    index: usize,
+    node: Node,
+    addr: SocketAddr,
+    engine: RefCell<Option<Rc<Engine<SimWorld>>>>,
+    stop: RefCell<Rc<Notify>>,
+    /// Counts its starts.
+    life: Cell<u64>,
+}
+
+struct Day {
+    plan: Rc<Plan>,
+    exec: Exec,
+    net: Net,
+    judge: Rc<RefCell<Judge>>,
+    shared: Rc<Shared>,
+    servers: Vec<Rc<Server>>,
+    discovery: Rc<Discovery>,
+    routers: Vec<Rc<RouterProcess>>,
+    clients: Vec<Rc<Clients>>,
+}
+
+impl Day {
+    fn set_up(plan: &Rc<Plan>, exec: &Exec, net: &Net, judge: &Rc<RefCell<Judge>>) -> Rc<Day> {
+        let machine = |role: Role, zone: usize, limit: usize| {
+            judge.borrow_mut().machine(role);
+            net.machine(zone, limit)
+        };
+        let shared = Shared::new(exec.clone(), net.clone(), judge.clone(), plan.clone());
+        let servers: Vec<Rc<Server>> = plan
+            .servers
+            .iter()
+            .enumerate()
+            .map(|(i, server)| {
+                let node = machine(Role::Server(i), server.zone, usize::MAX);
+                Server::new(i, node, addr(1, i, 6379), server.clone(), shared.clone())
+            })
+            .collect();
+        let zones = plan.servers.iter().map(|server| server.zone).collect();
+        let node = machine(Role::Discovery, 0, usize::MAX);
+        let discovery = Discovery::start(exec.clone(), net.clone(), judge.clone(), node, addr(2, 0, 8500), &servers, zones);
+        servers.iter().for_each(|server| server.start(0));
+        let mut routers = Vec::new();
+        let mut clients = Vec::new();
+        for (index, &zone) in plan.routers.iter().enumerate() {
+            let node = machine(Role::Router(index), zone, plan.sockets);
+            shared.router(node, index);
+            let stop = RefCell::new(Rc::new(Notify::new()));
+            let (addr, engine, life) = (addr(3, index, 6379), RefCell::new(None), Cell::new(0));
+            routers.push(Rc::new(RouterProcess { index, node, addr, engine, stop, life }));
+            let node = machine(Role::Client, zone, usize::MAX);
+            clients.push(Clients::new(exec.clone(), net.clone(), node, addr, plan.clone()));
+        }
+        let day = Rc::new(Day {
+            plan: plan.clone(),
+            exec: exec.clone(),
+            net: net.clone(),
+            judge: judge.clone(),
+            shared,
+            servers,
+            discovery,
+            routers,
+            clients,
+        });
+        day.routers.iter().for_each(|router| day.start_router(router));
+        day
+    }
+
+    fn at(self: &Rc<Self>, time: Time, act: impl FnOnce(&Rc<Day>) + 'static) {
+        let day = self.clone();
+        self.exec.call_at(time, move || act(&day));
+    }
+
+    fn after(self: &Rc<Self>, time: Time, act: impl FnOnce(&Rc<Day>) + 'static) {
+        self.at(self.exec.now() + time, act);
+    }
+
+    // ---- routers
+
+    fn start_router(self: &Rc<Self>, router: &Rc<RouterProcess>) {
+        let known = self.discovery.known_to(router.node);
+        self.judge.borrow_mut().router_started(self.exec.now(), router.index, &known);
+        let known: List = serde_json::from_str(&known).unwrap_or_default();
+        let life = router.life.get() + 1;
+        router.life.set(life);
+        let start = Start {
+            deployment: deployment(&self.plan, self.plan.routers[router.index]),
+            seed: Dice::new(self.plan.seed, 1_000 + 100 * router.index as u64 + life).number(),
+            discovery: self.discovery.addr,
+            known,
+            sockets: self.plan.sockets,
+        };
+        let engine = match Engine::new(self.net.world(router.node), start) {
+            Ok(engine) => Rc::new(engine),
+            Err(problem) => {
+                let mut judge = self.judge.borrow_mut();
+                judge.breach(Rule::Liveness, self.exec.now(), None, format!("a router does not start: {problem}"));
+                return;
+            }
+        };
+        *router.engine.borrow_mut() = Some(engine.clone());
+        let stop = Rc::new(Notify::new());
+        *router.stop.borrow_mut() = stop.clone();
+        let listener = self.net.listen(router.node, router.addr);
+        let (day, router) = (self.clone(), router.clone());
+        self.exec.spawn(router.node, async move {
+            engine.run(listener, async move { stop.notified().await }).await;
+            let (now, ended) = (day.exec.now(), router.clone());
+            // A process does not end within itself.
+            day.at(now, move |day| day.router_ended(&ended, life));
+        });
+    }
+
+    /// It has ended by itself: its machine closes what it held.
+    fn router_ended(self: &Rc<Self>, router: &Rc<RouterProcess>, life: u64) {
+        if router.life.get() != life || router.engine.borrow().is_none() {
+            return;
+        }
+        router.engine.borrow_mut().take();
+        self.exec.kill(router.node);
+        self.judge.borrow_mut().router_died(self.exec.now(), router.index);
+        let router = router.clone();
+        let pause = 30 * MILLI + 7 * MILLI * router.index as Time;
+        self.after(pause, move |day| day.start_router(&router));
+    }
+
+    fn kill_router(self: &Rc<Self>, router: &Rc<RouterProcess>, back_after: Time) {
+        if router.engine.borrow_mut().take().is_none() {
+            return;
+        }
+        // Told first: what its end tears down is nobody's fault.
+        self.judge.borrow_mut().router_died(self.exec.now(), router.index);
+        self.net.kill(router.node, false);
+        let router = router.clone();
+        self.after(back_after, move |day| day.start_router(&router));
+    }
+
+    fn terminate_router(self: &Rc<Self>, router: &Rc<RouterProcess>) {
+        if router.engine.borrow().is_none() {
+            return;
+        }
+        router.stop.borrow().notify_one();
+        let (router, life) = (router.clone(), router.life.get());
+        self.after(self.plan.longest_deadline() + KILL_MARGIN, move |day| {
+            if router.life.get() == life && router.engine.borrow().is_some() {
+                let (mut judge, text) = (day.judge.borrow_mut(), "a router is still there when it is killed");
+                judge.breach(Rule::Liveness, day.exec.now(), None, text.into());
+                drop(judge);
+                day.kill_router(&router, 50 * MILLI);
+            }
+        });
+    }
+
+    // ---- servers
+
+    /// The list hears of it some time later.
+    fn list(self: &Rc<Self>, server: usize, health: Health, born_ms: u64, late: Time) {
+        self.after(self.plan.notice + late, move |day| day.discovery.set(server, health, born_ms));
+    }
+
+    fn born_now(&self) -> u64 {
+        (UNIX_START + self.exec.now()) / 1_000
+    }
+
+    fn start_server(self: &Rc<Self>, server: usize, late: Time) {
+        let born_ms = self.born_now();
+        self.net.restore(self.servers[server].node);
+        self.servers[server].start(born_ms);
+        self.list(server, Health::Up, born_ms, late);
+    }
+
+    // ---- faults
+
+    fn schedule_faults(self: &Rc<Self>) {
+        for fault in self.plan.faults.clone() {
+            self.at(fault.at, move |day| day.begin(&fault));
+        }
+    }
+
+    fn begin(self: &Rc<Self>, fault: &Fault) {
+        let (now, length) = (self.exec.now(), fault.length);
+        match fault.kind {
+            Kind::RouterCrash => {
+                for &router in &fault.targets {
+                    self.kill_router(&self.routers[router], length);
+                }
+            }
+            Kind::RouterRoll => {
+                for (turn, &router) in fault.targets.iter().enumerate() {
+                    let router = self.routers[router].clone();
+                    let gap = 50 * MILLI + (fault.size * 300.0) as Time * MILLI;
+                    self.after(gap * turn as Time, move |day| day.terminate_router(&router));
+                }
+            }
+            Kind::ServerCrash | Kind::ServerVanish => {
+                let vanishes = fault.kind == Kind::ServerVanish;
+                for &server in &fault.targets {
+                    self.servers[server].kill(vanishes);
+                    // The list says so if it is gone for long; else it shows a new start alone.
+                    if length > SECOND {
+                        let born = self.servers[server].born_ms.get();
+                        self.list(server, Health::Removed, born, 0);
+                    }
+                    self.after(length, move |day| day.start_server(server, 20 * MILLI));
+                }
+            }
+            Kind::ServerDrain => {
+                for &server in &fault.targets {
+                    let born = self.servers[server].born_ms.get();
+                    self.list(server, Health::Draining, born, 0);
+                    self.after(self.plan.notice + 300 * MILLI, move |day| day.servers[server].drains.set(true));
+                    self.after(self.plan.notice + length, move |day| {
+                        day.list(server, Health::Removed, born, 0);
+                        day.servers[server].kill(false);
+                        day.after(400 * MILLI, move |day| day.start_server(server, 300 * MILLI));
+                    });
+                }
+            }
+            Kind::OriginSlow => {
+                self.shared.origin_slow.set(1.5 + 5.0 * fault.size);
+                self.after(length, |day| day.shared.origin_slow.set(0.0));
+            }
+            Kind::DiscoveryDown => {
+                self.discovery.down_until.set(now + length);
+                self.discovery.end_watches();
+            }
+            Kind::DiscoveryFlaps => {
+                for turn in 0..6 {
+                    self.after(length / 6 * turn, |day| day.discovery.end_watches());
+                }
+            }
+            // Late news: connections to discovery crawl as if its zone were cut off for some time.
+            Kind::DiscoveryLate => self.net.cut(0, now + length / 2),
+            Kind::ZoneCut => fault.targets.iter().for_each(|&zone| self.net.cut(zone, now + length)),
+            Kind::Deaf => {
+                for &server in &fault.targets {
+                    self.net.deafen(self.servers[server].node, now + length);
+                }
+            }
+            Kind::IdleReset => {
+                for turn in 0..8 {
+                    let targets = fault.targets.clone();
+                    self.after(length / 8 * turn, move |day| {
+                        targets.iter().for_each(|&server| day.servers[server].reset_idle());
+                    });
+                }
+            }
+            Kind::FastErrors => self.trouble(fault, |trouble, size| trouble.errors = size),
+            Kind::Spoils => self.trouble(fault, |trouble, size| trouble.spoils = size),
+            Kind::Full => self.trouble(fault, |trouble, size| trouble.full = size),
+            Kind::Hangs => self.trouble(fault, |trouble, size| trouble.hangs = size > 0.0),
+            Kind::ServerSlow => self.trouble(fault, |trouble, size| trouble.slow = 6.0 * size),
+            // These are in what clients do.
+            Kind::ClientsLeave | Kind::ClientsPipeline | Kind::ClientsReadSlowly => {}
+        }
+    }
+
+    fn trouble(self: &Rc<Self>, fault: &Fault, set: fn(&mut Trouble, f64)) {
+        let change = move |server: &Server, size: f64| {
+            let mut trouble = server.trouble.get();
+            set(&mut trouble, size);
+            server.trouble.set(trouble);
+        };
+        for &server in &fault.targets {
+            change(&self.servers[server], 0.2 + 0.8 * fault.size);
+            self.after(fault.length, move |day| change(&day.servers[server], 0.0));
+        }
+    }
+
+    // ---- clients
+
+    fn schedule_asks(self: &Rc<Self>) {
+        let mut taken = vec![false; self.plan.asks.len()];
+        for place in 0..self.plan.asks.len() {
+            if std::mem::replace(&mut taken[place], true) {
+                continue;
+            }
+            let ask = self.plan.asks[place].clone();
+            let mut asks = vec![ask.clone()];
+            if let Some(fault) = self.during(&ask, Kind::ClientsPipeline) {
+                // The next ones of this router come with it.
+                let wanted = 2 + (fault.size * 5.0) as usize;
+                for (later, next) in self.plan.asks.iter().enumerate().skip(place + 1).take(40) {
+                    let near = next.router == ask.router && next.at < ask.at + 400 * MILLI;
+                    if asks.len() < wanted && near && !std::mem::replace(&mut taken[later], true) {
+                        asks.push(Ask { at: ask.at, ..next.clone() });
+                    }
+                }
+            }
+            let mut manner = Manner::default();
+            if self.during(&ask, Kind::ClientsLeave).is_some_and(|fault| ask.lot < 0.2 + 0.6 * fault.size) {
+                manner.leaves = Some((ask.wait as f64 * ask.lot * ask.lot) as Time);
+            }
+            if self.during(&ask, Kind::ClientsReadSlowly).is_some() {
+                manner.reads_late = (ask.lot * 600.0) as Time * MILLI;
+            }
+            self.at(ask.at, move |day| day.clients[ask.router].ask(asks, manner));
+        }
+    }
+
+    fn during(&self, ask: &Ask, kind: Kind) -> Option<&Fault> {
+        self.plan.faults.iter().find(|fault| fault.kind == kind && (fault.at..fault.at + fault.length).contains(&ask.at))
+    }
+
+    // ---- the end
+
+    /// Once every deadline has passed, nothing may be left of any request, and nothing may have been given up on.
+    fn check_end(&self) {
+        let (now, mut judge) = (self.exec.now(), self.judge.borrow_mut());
+        for router in &self.routers {
+            let engine = router.engine.borrow().clone();
+            let Some(engine) = engine else {
+                judge.breach(Rule::Liveness, now, None, format!("router {} is not back", router.index));
+                continue;
+            };
+            let held = engine.holdings();
+            let open = self.net.open(router.node);
+            let left = held.owed + held.open + held.held;
+            if left > 0 || held.timers > RESTING_TIMERS {
+                let text = format!("router {} still holds {held:?} when all is over", router.index);
+                judge.breach(Rule::Bounds, now, None, text);
+            }
+            // Its watch is one more.
+            if open > held.clients + held.idle + 1 {
+                let text = format!("router {} holds {open} connections and knows of {held:?}", router.index);
+                judge.breach(Rule::Bounds, now, None, text);
+            }
+        }
+        if let Some((_, taken, served)) = judge.calm
+            && taken >= CALM_REQUESTS
+            && (served as f64) < CALM_SERVED * taken as f64
+        {
+            let text = format!("only {served} of {taken} requests were served once all was calm");
+            judge.breach(Rule::Liveness, now, None, text);
+        }
+    }
+}
