--- a/crates/asterport-engine/src/clients.rs
+++ b/crates/asterport-engine/src/clients.rs
@@ -1,6 +1,7 @@
 //! Clients: the listener, commands in, and answers out in the order of the commands.
 
 use crate::driver::{Answer, Ask, Driver};
+use crate::planted::{self, Bug};
 use crate::resp::{Command, CommandReader, READ_SIZE, RespError};
 use crate::seam::{Stream, World};
 use bytes::{Bytes, BytesMut};
@@ -309,6 +310,7 @@
                 (None, false) => Some(client.used.get() + COMMAND_LIMIT),
                 (None, true) => (client.owed.get() == 0).then(|| client.used.get() + IDLE_LIMIT),
             };
+            let drops = planted::has(Bug::DropsPipelined) && client.closing.get() && client.owed.get() > 1;
             tokio::select! {
                 biased;
                 // Reads first: a command that has arrived is served, also when the connection is to close.
@@ -320,6 +322,7 @@
                     }
                     _ => return End::Left,
                 },
+                () = std::future::ready(()), if drops => return End::Left,
                 () = std::future::ready(()), if may_close || client.evicted.get() => return End::Done,
                 () = self.world.sleep_until(limit.unwrap_or_else(|| self.world.now())), if limit.is_some() => return End::Done,
                 () = client.changed.notified() => {}
@@ -421,6 +424,11 @@
                     }
                 }
             };
+            let bytes = if planted::has(Bug::AnswersTwice) {
+                [&bytes[..], &bytes[..]].concat().into()
+            } else {
+                bytes
+            };
             if !matches!(self.world.timeout(WRITE_LIMIT, writer.write_all(&bytes)).await, Ok(Ok(()))) {
                 return;
             }
--- a/crates/asterport-engine/src/discovery.rs
+++ b/crates/asterport-engine/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Discovery: the list and the watch on it, as membership events.
 
 use crate::driver::Driver;
+use crate::planted::{self, Bug};
 use crate::seam::{Elapsed, World};
 use crate::servers::Servers;
 use bytes::{Bytes, BytesMut};
@@ -315,11 +316,44 @@
         }
     }
 
+    /// What a planted bug holds back.
+    fn take_late(&self, hosts: Vec<Host>) {
+        if hosts.is_empty() {
+            return;
+        }
+        let (driver, servers, world) = (self.driver.clone(), self.servers.clone(), self.world.clone());
+        self.world.spawn(async move {
+            world.sleep(Duration::from_millis(251)).await;
+            let mut members = Vec::new();
+            for host in hosts {
+                let state =
+                    if host.health == Health::Draining { ServerState::Draining } else { ServerState::Gone };
+                let server = ServerId::from(host.host.as_str());
+                servers.list(&server, host.dial, state, host.born_ms);
+                let started = Micros::from_millis(host.born_ms);
+                members.push(Member { state, started, cell: CellId(host.block), ..Member::ready(server) });
+            }
+            driver.membership(MembershipKind::Changes, members);
+        });
+    }
+
     /// Takes a list: first the addresses, so that the module's actions find them.
     fn take(&self, list: List, kind: Option<MembershipKind>) {
         let whole = list.whole || kind == Some(MembershipKind::Cached);
         let mut members = Vec::with_capacity(list.hosts.len());
-        for host in list.hosts {
+        let (mut late, hosts) = (Vec::new(), list.hosts);
+        for mut host in hosts {
+            let is_out = host.health != Health::Up;
+            if planted::has(Bug::DrainsLate) && is_out && kind != Some(MembershipKind::Cached) {
+                late.push(host);
+                continue;
+            }
+            if planted::has(Bug::KeepsRemoved) && host.health == Health::Removed {
+                continue;
+            }
+            if planted::has(Bug::ForgetsColdness) || planted::has(Bug::MissesRestart) && host.born_ms != 0 {
+                host.born_ms = if planted::has(Bug::ForgetsColdness) { 0 } else { 1 };
+            }
             let state = match host.health {
                 Health::Up => ServerState::Ready,
                 Health::Draining => ServerState::Draining,
@@ -346,5 +380,6 @@
         self.seq.set(list.seq);
         let told = if whole { MembershipKind::Full } else { MembershipKind::Changes };
         self.driver.membership(kind.unwrap_or(told), members);
+        self.take_late(late);
     }
 }
--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -4,9 +4,10 @@
 //! request has one final answer. It decides nothing.
 
 use crate::engine::Holdings;
+use crate::planted::{self, Bug};
 use crate::resp::Command;
 use crate::seam::World;
-use crate::servers::{Ended, Servers};
+use crate::servers::{Ended, Limit, Servers};
 use bytes::Bytes;
 use onyxpick::*;
 use std::cell::RefCell;
@@ -123,7 +124,8 @@
     /// Takes a request; its one final answer comes on the receiver. None if a request of that id waits already.
     pub fn request(self: &Rc<Self>, ask: Ask) -> Option<(RequestId, oneshot::Receiver<Answer>)> {
         let (reply, answer) = oneshot::channel();
-        let expires = self.clock.now().plus(ask.wait);
+        let late = Micros::from_millis(if planted::has(Bug::DeadlinesLate) { 100 } else { 0 });
+        let expires = self.clock.now().plus(ask.wait).plus(late);
         let write = ask.command.is_write();
         let id = {
             let mut state = self.state.borrow_mut();
@@ -179,6 +181,9 @@
                     _ => break,
                 }
                 let Some(Reverse((_, token))) = state.timers.pop() else { break };
+                if planted::has(Bug::LeaksTimers) {
+                    state.timers.push(Reverse((world.now() + Duration::from_secs(3_600), token)));
+                }
                 drop(state);
                 self.handle(Event::Timer { token });
             }
@@ -204,7 +209,9 @@
 
     fn carry_out(self: &Rc<Self>, state: &mut State, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(state, id, server, timeout),
+            Action::Send { id, server, timeout, start_within } => {
+                self.send(state, id, server, (timeout, start_within));
+            }
             Action::Cancel { id, attempt } => {
                 let open = state.open.get_mut(&id);
                 if let Some(cancel) = open.and_then(|o| o.attempts.get_mut(attempt.0 as usize)?.take()) {
@@ -212,9 +219,13 @@
                 }
             }
             Action::Refuse { id, retry_after } => answer(state, id, Answer::Refused(retry_after)),
+            Action::Fail { id } if planted::has(Bug::RefusesWhatRan) => {
+                answer(state, id, Answer::Refused(None))
+            }
             Action::Fail { id } => answer(state, id, Answer::Failed),
             Action::SetTimer { after, token } => {
-                state.timers.push(Reverse((self.clock.world.now() + duration(after), token)));
+                let at = self.clock.world.now() + duration(after);
+                state.timers.push(Reverse((at, token)));
                 self.timer_set.notify_one();
             }
             Action::CloseIdle { server } => self.servers.close_idle(&server),
@@ -223,7 +234,13 @@
         }
     }
 
-    fn send(self: &Rc<Self>, state: &mut State, id: RequestId, server: ServerId, timeout: Option<Micros>) {
+    fn send(
+        self: &Rc<Self>,
+        state: &mut State,
+        id: RequestId,
+        server: ServerId,
+        (timeout, start_within): (Option<Micros>, Option<Micros>),
+    ) {
         let Some(open) = state.open.get_mut(&id) else { return };
         let attempt = AttemptNo(open.attempts.len() as u32);
         let now = self.clock.now();
@@ -247,7 +264,17 @@
         }
         let (cancel, cancelled) = oneshot::channel();
         open.attempts.push(Some(cancel));
-        let work = self.servers.clone().attempt(server, open.command.clone(), self.clock.instant(until));
+        let until = self.clock.instant(until);
+        let start_by = start_within.map_or(until, |within| self.clock.instant(now.plus(within)).min(until));
+        if planted::has(Bug::SendsAfterAnswer) {
+            let (world, limit) = (self.clock.world.clone(), Limit { start_by, until });
+            let copy = self.servers.clone().attempt(server.clone(), open.command.clone(), limit);
+            self.clock.world.spawn(async move {
+                world.sleep(Duration::from_millis(200)).await;
+                copy.await;
+            });
+        }
+        let work = self.servers.clone().attempt(server, open.command.clone(), Limit { start_by, until });
         let driver = self.clone();
         self.clock.world.spawn(async move {
             let ended = tokio::select! {
@@ -274,14 +301,17 @@
                 None => true,
             }
         };
-        let Ended { outcome, note, begun, link, .. } = ended;
+        let Ended { mut outcome, note, begun, link, .. } = ended;
+        if planted::has(Bug::RepeatsUnsafe) && outcome == Outcome::Broken {
+            outcome = Outcome::Unreachable;
+        }
         self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link }));
         self.forget(id);
     }
 
     fn forget(&self, id: RequestId) {
         let mut state = self.state.borrow_mut();
-        if state.open.get(&id).is_some_and(Open::is_over) {
+        if state.open.get(&id).is_some_and(Open::is_over) && !planted::has(Bug::LeaksRequests) {
             state.open.remove(&id);
         }
     }
--- a/crates/asterport-engine/src/engine.rs
+++ b/crates/asterport-engine/src/engine.rs
@@ -3,10 +3,11 @@
 use crate::clients::Clients;
 use crate::discovery::{Discovery, List};
 use crate::driver::{Driver, duration};
+use crate::planted::{self, Bug};
 use crate::seam::World;
 use crate::servers::{self, Servers};
 use onyxpick::params::Deployment;
-use onyxpick::{Discovery as Listing, Micros, Router};
+use onyxpick::{Discovery as Listing, Effect, Group, Micros, Router};
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -71,7 +72,17 @@
     /// # Errors
     /// One plain sentence on the setting that cannot be used.
     pub fn new(world: W, start: Start) -> Result<Engine<W>, String> {
-        let Deployment { settings, names, dial_timeout } = start.deployment;
+        let Deployment { mut settings, names, dial_timeout } = start.deployment;
+        for class in &mut settings.classes {
+            if let Effect::Keyed { group, memory } = &mut class.effect {
+                if planted::has(Bug::RepeatsPastMemory) {
+                    *memory = memory.scaled(1_000.0);
+                }
+                if planted::has(Bug::LeavesTheGroup) {
+                    *group = Group::All;
+                }
+            }
+        }
         let most = start.sockets.saturating_sub(RESERVED) / 2;
         if most == 0 {
             return Err(format!("limits.sockets: {} is too few", start.sockets));
--- a/crates/asterport-engine/src/lib.rs
+++ b/crates/asterport-engine/src/lib.rs
@@ -8,6 +8,8 @@
 mod discovery;
 mod driver;
 mod engine;
+#[doc(hidden)]
+pub mod planted;
 mod resp;
 pub mod seam;
 mod servers;
--- /dev/null
+++ b/crates/asterport-engine/src/planted.rs
@@ -0,0 +1,84 @@
+//! Bugs planted for the rig: it has to catch each of them. Without the feature `planted`, which service builds leave
+//! out, there are none and every question for one is answered at compile time.
+
+/// A bug that can be planted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Bug {
+    /// Each answer is written twice.
+    AnswersTwice,
+    /// At SIGTERM, connections on which several answers are owed are dropped.
+    DropsPipelined,
+    /// Clients are thought to wait 100 ms longer than they say.
+    DeadlinesLate,
+    /// Each attempt is followed by a copy that nobody asked for.
+    SendsAfterAnswer,
+    /// A connection on which an answer is still to come is used for the next request.
+    ReusesTimedOut,
+    /// A reset after the last byte counts as proof that nothing ran.
+    RepeatsUnsafe,
+    /// What may have run is refused as harmless.
+    RefusesWhatRan,
+    /// Keyed requests are repeated as if they were remembered for ever.
+    RepeatsPastMemory,
+    /// Keyed requests of a zone are repeated in other zones.
+    LeavesTheGroup,
+    /// Drains and removals reach the decisions 251 ms after they came.
+    DrainsLate,
+    /// Servers that the list removes are kept.
+    KeepsRemoved,
+    /// All servers count as started long ago.
+    ForgetsColdness,
+    /// A server that comes back counts as the process that it was.
+    MissesRestart,
+    /// Timers that have fired are set once more, for an hour later.
+    LeaksTimers,
+    /// Connections that broke are kept.
+    LeaksConnections,
+    /// Requests are not forgotten when they are over.
+    LeaksRequests,
+}
+
+impl Bug {
+    /// All of them.
+    pub const ALL: [Bug; 16] = [
+        Bug::AnswersTwice,
+        Bug::DropsPipelined,
+        Bug::DeadlinesLate,
+        Bug::SendsAfterAnswer,
+        Bug::ReusesTimedOut,
+        Bug::RepeatsUnsafe,
+        Bug::RefusesWhatRan,
+        Bug::RepeatsPastMemory,
+        Bug::LeavesTheGroup,
+        Bug::DrainsLate,
+        Bug::KeepsRemoved,
+        Bug::ForgetsColdness,
+        Bug::MissesRestart,
+        Bug::LeaksTimers,
+        Bug::LeaksConnections,
+        Bug::LeaksRequests,
+    ];
+}
+
+#[cfg(feature = "planted")]
+std::thread_local! {
+    static PLANTED: std::cell::Cell<Option<Bug>> = const { std::cell::Cell::new(None) };
+}
+
+/// Plants a bug in all engines of this thread, or takes it out again.
+#[cfg(feature = "planted")]
+pub fn plant(bug: Option<Bug>) {
+    PLANTED.set(bug);
+}
+
+/// Whether this bug is planted.
+#[cfg(feature = "planted")]
+pub(crate) fn has(bug: Bug) -> bool {
+    PLANTED.get() == Some(bug)
+}
+
+/// Whether this bug is planted: never.
+#[cfg(not(feature = "planted"))]
+pub(crate) const fn has(_bug: Bug) -> bool {
+    false
+}
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -1,5 +1,6 @@
 //! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
 
+use crate::planted::{self, Bug};
 use crate::resp::{Command, READ_SIZE, Reply, ReplyReader};
 use crate::seam::{Stream, World};
 use bytes::{Bytes, BytesMut};
@@ -32,6 +33,15 @@
     pub connections: usize,
 }
 
+/// How long an attempt may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Limit {
+    /// Its last byte is written by then, or none of it counts.
+    pub start_by: Instant,
+    /// It has ended by then.
+    pub until: Instant,
+}
+
 /// How an attempt ended, and the answer if it served the request.
 pub struct Ended {
     pub outcome: Outcome,
@@ -56,6 +66,8 @@
     pools: RefCell<BTreeMap<ServerId, Pool<W>>>,
     limits: Limits,
     room: Arc<Semaphore>,
+    /// Empty but for a planted bug.
+    leaked: RefCell<Vec<Connection<W>>>,
 }
 
 struct Pool<W: World> {
@@ -79,7 +91,7 @@
 impl<W: World> Servers<W> {
     pub fn new(limits: Limits, world: W) -> Rc<Self> {
         let room = Arc::new(Semaphore::new(limits.connections));
-        Rc::new(Servers { world, pools: RefCell::default(), limits, room })
+        Rc::new(Servers { world, pools: RefCell::default(), limits, room, leaked: RefCell::default() })
     }
 
     /// Idle connections.
@@ -131,16 +143,16 @@
         self.age(since) < self.limits.conn_idle.mul_f64(RETIRE_SHARE)
     }
 
-    /// One attempt, from its connection to its outcome. Never longer than until `until`.
-    pub async fn attempt(self: Rc<Self>, server: ServerId, command: Rc<Command>, until: Instant) -> Ended {
+    /// One attempt, from its connection to its outcome. Never longer than its limit.
+    pub async fn attempt(self: Rc<Self>, server: ServerId, command: Rc<Command>, limit: Limit) -> Ended {
         let (connection, link) = match self.idle_connection(&server) {
             Some((connection, idle)) => (connection, Link::Kept(Micros(idle.as_micros() as u64))),
-            None => match self.connect(&server, until).await {
+            None => match self.connect(&server, limit.until).await {
                 Ok(connection) => (connection, Link::New),
                 Err(outcome) => return Ended { link: Link::New, ..outcome.into() },
             },
         };
-        Ended { link, ..self.exchange(&server, connection, &command, until).await }
+        Ended { link, ..self.exchange(&server, connection, &command, limit).await }
     }
 
     /// One command and its answer on a connection.
@@ -149,19 +161,23 @@
         server: &ServerId,
         mut connection: Connection<W>,
         command: &Command,
-        until: Instant,
+        Limit { start_by, until }: Limit,
     ) -> Ended {
         // Guards the drain grace: the list may have changed while the connection came up.
         let wanted = |pool: &Pool<W>| pool.state == ServerState::Ready && pool.addr == connection.addr;
         if !self.pools.borrow().get(server).is_some_and(wanted) {
             return Outcome::Void.into();
         }
+        // Guards the memory of a keyed request: it may have run out while the connection came up.
+        if self.world.now() > start_by {
+            return Outcome::Void.into();
+        }
         let wait = until.saturating_duration_since(self.world.now()).as_millis().max(1);
         let bytes = command.encode(wait as u64);
         let mut written = 0;
         while written < bytes.len() {
             // Broken or given up before the last byte: a cache server begins nothing that is not whole.
-            match self.world.timeout_at(until, connection.stream.write(&bytes[written..])).await {
+            match self.world.timeout_at(start_by, connection.stream.write(&bytes[written..])).await {
                 Ok(Ok(count)) if count > 0 => written += count,
                 _ => return Outcome::Unreachable.into(),
             }
@@ -199,8 +215,18 @@
                     connection.stream.acknowledge();
                 }
                 _ if reader.has_value() => return reader.served_without_report(received).into(),
-                Err(_) if limit == until => return Ended { begun, ..Outcome::TimedOut.into() },
-                _ => return broken(begun),
+                Err(_) if limit == until => {
+                    if planted::has(Bug::ReusesTimedOut) {
+                        self.put_back(server, connection);
+                    }
+                    return Ended { begun, ..Outcome::TimedOut.into() };
+                }
+                _ => {
+                    if planted::has(Bug::LeaksConnections) {
+                        self.leaked.borrow_mut().push(connection);
+                    }
+                    return broken(begun);
+                }
             }
         }
     }
--- a/crates/asterport-sim/src/discovery.rs
+++ b/crates/asterport-sim/src/discovery.rs
@@ -157,7 +157,8 @@
             return;
         }
         let text = String::from_utf8_lossy(&head).into_owned();
-        let after = text.split("after=").nth(1).map_or("", |rest| rest.split([' ', '&']).next().unwrap_or(""));
+        let after =
+            text.split("after=").nth(1).map_or("", |rest| rest.split([' ', '&']).next().unwrap_or(""));
         let after: u64 = after.parse().unwrap_or(0);
         let after = if after > self.seq.get() { 0 } else { after };
         let router = stream.peer();
--- a/crates/asterport-sim/src/fleet.rs
+++ b/crates/asterport-sim/src/fleet.rs
@@ -122,7 +122,13 @@
 
 impl Server {
     /// A server that does not run yet.
-    pub fn new(index: usize, node: Node, addr: SocketAddr, plan: ServerPlan, fleet: Rc<Shared>) -> Rc<Server> {
+    pub fn new(
+        index: usize,
+        node: Node,
+        addr: SocketAddr,
+        plan: ServerPlan,
+        fleet: Rc<Shared>,
+    ) -> Rc<Server> {
         Rc::new(Server {
             index,
             name: format!("s-{index:02}"),
@@ -234,7 +240,11 @@
                 let value = value_for(call.id, &self.name, size);
                 let mut out = format!("*3\r\n${}\r\n", value.len()).into_bytes();
                 out.extend_from_slice(&value);
-                out.extend_from_slice(if *miss { b"\r\n$4\r\nmiss\r\n$-1\r\n" } else { b"\r\n$3\r\nhit\r\n$-1\r\n" });
+                out.extend_from_slice(if *miss {
+                    b"\r\n$4\r\nmiss\r\n$-1\r\n"
+                } else {
+                    b"\r\n$3\r\nhit\r\n$-1\r\n"
+                });
                 out
             }
             Done::Failed => b"-ERR failed\r\n".to_vec(),
--- a/crates/asterport-sim/src/lib.rs
+++ b/crates/asterport-sim/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod net;
 pub mod plan;
 pub mod play;
+pub mod rounds;
 pub mod wire;
 
 /// The Unix time at the start of every day, in microseconds.
--- a/crates/asterport-sim/src/play.rs
+++ b/crates/asterport-sim/src/play.rs
@@ -203,7 +203,15 @@
             .collect();
         let zones = plan.servers.iter().map(|server| server.zone).collect();
         let node = machine(Role::Discovery, 0, usize::MAX);
-        let discovery = Discovery::start(exec.clone(), net.clone(), judge.clone(), node, addr(2, 0, 8500), &servers, zones);
+        let discovery = Discovery::start(
+            exec.clone(),
+            net.clone(),
+            judge.clone(),
+            node,
+            addr(2, 0, 8500),
+            &servers,
+            zones,
+        );
         servers.iter().for_each(|server| server.start(0));
         let mut routers = Vec::new();
         let mut clients = Vec::new();
@@ -259,7 +267,12 @@
             Ok(engine) => Rc::new(engine),
             Err(problem) => {
                 let mut judge = self.judge.borrow_mut();
-                judge.breach(Rule::Liveness, self.exec.now(), None, format!("a router does not start: {problem}"));
+                judge.breach(
+                    Rule::Liveness,
+                    self.exec.now(),
+                    None,
+                    format!("a router does not start: {problem}"),
+                );
                 return;
             }
         };
@@ -373,7 +386,9 @@
                 for &server in &fault.targets {
                     let born = self.servers[server].born_ms.get();
                     self.list(server, Health::Draining, born, 0);
-                    self.after(self.plan.notice + 300 * MILLI, move |day| day.servers[server].drains.set(true));
+                    self.after(self.plan.notice + 300 * MILLI, move |day| {
+                        day.servers[server].drains.set(true)
+                    });
                     self.after(self.plan.notice + length, move |day| {
                         day.list(server, Health::Removed, born, 0);
                         day.servers[server].kill(false);
@@ -464,7 +479,10 @@
     }
 
     fn during(&self, ask: &Ask, kind: Kind) -> Option<&Fault> {
-        self.plan.faults.iter().find(|fault| fault.kind == kind && (fault.at..fault.at + fault.length).contains(&ask.at))
+        self.plan
+            .faults
+            .iter()
+            .find(|fault| fault.kind == kind && (fault.at..fault.at + fault.length).contains(&ask.at))
     }
 
     // ---- the end
--- a/crates/asterport-sim/src/wire.rs
+++ b/crates/asterport-sim/src/wire.rs
@@ -143,7 +143,11 @@
         };
         let fields = text(3).unwrap_or_default();
         let field = |name: &str| {
-            fields.split(',').filter_map(|pair| pair.split_once('=')).find(|pair| pair.0 == name).map(|pair| pair.1)
+            fields
+                .split(',')
+                .filter_map(|pair| pair.split_once('='))
+                .find(|pair| pair.0 == name)
+                .map(|pair| pair.1)
         };
         let id = text(2).and_then(|id| u64::from_str_radix(id, 16).ok());
         let (Some(id), Some(class)) = (id, field("c")) else { return Spoken::Other };
--- a/crates/onyxpick-benchlink/src/wire.rs
+++ b/crates/onyxpick-benchlink/src/wire.rs
@@ -249,7 +249,8 @@
 /// Writes one action.
 pub fn write(to: &mut impl Write, router: u64, action: &Action) -> io::Result<()> {
     match action {
-        Action::Send { id, server, timeout } => {
+        // The simulator writes a command the moment it is sent: nothing is late to start.
+        Action::Send { id, server, timeout, start_within: _ } => {
             let timeout = timeout.map_or(0.0, Micros::as_secs_f64);
             writeln!(to, "send\t{router}\t{}\t{server}\t{timeout}", id.0)
         }
--- a/crates/onyxpick/src/api.rs
+++ b/crates/onyxpick/src/api.rs
@@ -493,6 +493,9 @@
         server: ServerId,
         /// Give up on the attempt after this time; `None` is the client's own limit.
         timeout: Option<Micros>,
+        /// Its last byte must be written within this time, or it is not to be sent at all ([`Outcome::Void`]): a
+        /// repeat that waits for its connection may outlast the memory that makes it harmless. `None`: no such end.
+        start_within: Option<Micros>,
     },
     /// Stop waiting for an attempt.
     Cancel {
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -439,12 +439,14 @@
     }
 
     /// Whether a cold server's budget since this router last sent to it covers one more request. Many routers
-    /// would push it over before any hears that it is slow; where they are few, their limits see to it.
+    /// would push it over before any hears that it is slow; where they are few, their limits see to it, unless
+    /// requests are so long that what the limits let through at once is more than it can stand.
     fn has_budget(&self, server: &Server) -> bool {
         let (rules, middle) = (&self.settings.rules, server.last_sent.plus(self.now).scaled(0.5));
-        let budget = COLD_WORK * rules.fall_multiple * server.capacity(middle, rules)
-            / f64::from(self.settings.routers);
-        f64::from(self.settings.routers) <= FIRST_TOTAL
+        let stands = COLD_WORK * rules.fall_multiple * server.capacity(middle, rules);
+        let budget = stands / f64::from(self.settings.routers);
+        let at_once = self.usual.scaled(FIRST_TOTAL);
+        f64::from(self.settings.routers) <= FIRST_TOTAL && at_once <= rules.fall_time.scaled(stands)
             || self.now.since(server.last_sent).scaled(budget) >= self.usual.scaled(server.due)
     }
 
@@ -464,6 +466,7 @@
         let fetch =
             self.settings.mode == CacheMode::Through && (held.ask.write || !self.knows(held.place, index));
         let idle = self.idle_connection(index);
+        let start_within = self.memory_left(held);
         held.attempts.push(Attempt {
             server: index,
             sent: self.now,
@@ -482,7 +485,7 @@
             self.servers[index].waiting_since = Some(self.now);
         }
         let timeout = self.patience(held, index);
-        self.out.push(Action::Send { id: held.ask.id, server, timeout });
+        self.out.push(Action::Send { id: held.ask.id, server, timeout, start_within });
         true
     }
 
@@ -534,6 +537,12 @@
         (further && useful).then_some(part)
     }
 
+    /// How long a repeat of a keyed request that may have run is still dropped.
+    fn memory_left(&self, held: &Held) -> Option<Micros> {
+        let Effect::Keyed { memory, .. } = self.class(held).effect else { return None };
+        held.first_run().map(|first| first.sent.plus(memory).since(self.now))
+    }
+
     fn effect_allows(&self, held: &Held, index: usize) -> bool {
         let Some(first) = held.first_run() else { return true };
         match self.class(held).effect {
