--- a/crates/asterport-sim/src/discovery.rs
+++ b/crates/asterport-sim/src/discovery.rs
@@ -50,6 +50,18 @@
     last: RefCell<BTreeMap<Node, String>>,
 }
 
+/// One server as the list has it.
+pub(crate) fn entry(name: &str, addr: SocketAddr, zone: usize, health: &str, born_ms: u64) -> String {
+    format!(
+        r#"{{"host":"{name}","dial":"{addr}","site":"z{zone}","class":"m","block":1,"health":"{health}","share":1.0,"born_ms":{born_ms}}}"#
+    )
+}
+
+/// A list, or the changes to one, without its line's end.
+pub(crate) fn list(seq: u64, whole: bool, entries: &[String]) -> String {
+    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.join(","))
+}
+
 /// While nothing changes, an empty line comes as often.
 const BEAT: Time = 2 * SECOND;
 /// How long a call takes it.
@@ -126,20 +138,21 @@
             .iter()
             .zip(&self.servers)
             .zip(&self.zones)
-            .filter(|((entry, _), _)| if after == 0 { entry.health != Health::Removed } else { entry.changed > after })
-            .map(|((entry, server), zone)| {
-                let health = match entry.health {
+            .filter(
+                |((entry, _), _)| {
+                    if after == 0 { entry.health != Health::Removed } else { entry.changed > after }
+                },
+            )
+            .map(|((entry_of, server), zone)| {
+                let health = match entry_of.health {
                     Health::Up => "up",
                     Health::Draining => "draining",
                     Health::Removed => "removed",
                 };
-                format!(
-                    r#"{{"host":"{}","dial":"{}","site":"z{zone}","class":"m","block":1,"health":"{health}","share":1.0,"born_ms":{}}}"#,
-                    server.name, server.addr, entry.born_ms
-                )
+                entry(&server.name, server.addr, *zone, health, entry_of.born_ms)
             })
             .collect();
-        format!(r#"{{"seq":{},"whole":{},"hosts":[{}]}}"#, self.seq.get(), after == 0, hosts.join(","))
+        list(self.seq.get(), after == 0, &hosts)
     }
 
     async fn serve(self: Rc<Self>, mut stream: SimStream) {
--- a/crates/asterport-sim/src/net.rs
+++ b/crates/asterport-sim/src/net.rs
@@ -785,13 +785,6 @@
     node: Node,
 }
 
-impl SimWorld {
-    /// The machine.
-    pub fn node(&self) -> Node {
-        self.node
-    }
-}
-
 impl seam::World for SimWorld {
     type Stream = SimStream;
     type Listener = SimListener;
--- a/crates/asterport-sim/src/scene.rs
+++ b/crates/asterport-sim/src/scene.rs
@@ -5,6 +5,7 @@
 
 use crate::UNIX_START;
 use crate::dice::Dice;
+use crate::discovery::{entry, list};
 use crate::exec::{Exec, Node, Time};
 use crate::judge::{Breach, Effect as Judged, Figures, Group as JudgedGroup, Judge, Role};
 use crate::net::{DatagramWeather, Net, Observer, SimStream, SimWorld, Weather};
@@ -96,7 +97,11 @@
             .collect();
         let (router, discovery, client) =
             (machine(Role::Router(0)), machine(Role::Discovery), machine(Role::Client));
-        let known = list(1, true, (0..servers).map(|i| entry(i, peers[i].addr, "up", 0)));
+        let known = list(
+            1,
+            true,
+            &(0..servers).map(|i| entry(&names[i].0, peers[i].addr, i % 2, "up", 0)).collect::<Vec<_>>(),
+        );
         judge.borrow_mut().router_started(0, 0, &known);
         let lists = Rc::new(RefCell::new(Vec::new()));
         let start = Start {
@@ -184,7 +189,8 @@
 
     /// Discovery says this of a server, so that it is at the router's machine at this time.
     pub fn told_at(&self, at: Time, server: usize, health: &str, born_ms: u64) {
-        let line = entry(server, self.peers[server].addr, health, born_ms);
+        let name = format!("s-{server:02}");
+        let line = entry(&name, self.peers[server].addr, server % 2, health, born_ms);
         self.lists.borrow_mut().push((at - LATENCY, line));
     }
 
@@ -290,7 +296,7 @@
                 };
                 if !due.is_empty() {
                     seq += 1;
-                    written = stream.write_all(chunk(&list(seq, false, due.into_iter())).as_bytes()).await;
+                    written = stream.write_all(chunk(&list(seq, false, &due)).as_bytes()).await;
                 } else if exec.now() >= beat {
                     beat = exec.now() + SECOND;
                     written = stream.write_all(chunk("").as_bytes()).await;
@@ -375,17 +381,6 @@
     }
 }
 
-fn entry(server: usize, addr: SocketAddr, health: &str, born_ms: u64) -> String {
-    format!(
-        r#"{{"host":"s-{server:02}","dial":"{addr}","site":"z{}","class":"m","block":1,"health":"{health}","share":1.0,"born_ms":{born_ms}}}"#,
-        server % 2
-    )
-}
-
-fn list(seq: u64, whole: bool, entries: impl Iterator<Item = String>) -> String {
-    format!(r#"{{"seq":{seq},"whole":{whole},"hosts":[{}]}}"#, entries.collect::<Vec<_>>().join(","))
-}
-
 /// The figures that a scene's judge goes by.
 pub fn figures() -> Figures {
     let effects = [
