--- a/crates/asterport/tests/router_servers.rs
+++ b/crates/asterport/tests/router_servers.rs
@@ -427,3 +427,66 @@
     pause();
     assert!(client.ask("once", key).starts_with("-ERR"));
 }
+
+/// A router of two servers where an answer past the aim of 500 ms is worth nothing; the first is the owner of the key.
+fn pair_without_late_worth(key: &str) -> (Server, Server, Router, Discovery) {
+    let (a, b) = (Server::start("s-a"), Server::start("s-b"));
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[a.entry("up"), b.entry("up")]);
+    config["settings"]["request_classes"][0]["late_value"] = 0.0.into();
+    let router = Router::start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    assert!(router.client().ask("read", key).contains("s-"));
+    let (owner, other) = if a.commands().is_empty() { (b, a) } else { (a, b) };
+    (owner, other, router, discovery)
+}
+
+/// Guards against giving up what is about to come: the work would go on, and the next attempt cost as much again.
+#[test]
+fn an_answer_that_takes_most_of_the_aim_is_waited_for() {
+    let key = "7f3a9c21e0b4d655";
+    let (owner, other, router, _discovery) = pair_without_late_worth(key);
+    owner.does(key, Does::SaysAfter(400, value("in time")));
+    assert!(router.client().ask("read", key).contains("in time"));
+    assert!(other.commands().is_empty(), "{:?}", other.commands());
+}
+
+/// Guards against a lost answer where all others are quick: it is overdue long before the aim, and another serves.
+#[test]
+fn an_answer_that_is_overdue_is_asked_for_elsewhere() {
+    let key = "7f3a9c21e0b4d655";
+    let (owner, other, router, _discovery) = pair_without_late_worth(key);
+    let mut client = router.client();
+    (0..60).for_each(|i| assert!(client.ask("read", &format!("other{i}")).contains("s-")));
+    owner.does(key, Does::IsSilent);
+    assert!(client.ask("read", key).contains(&other.name));
+}
+
+/// Guards a jam against clients that come again: past the aim a retry of what was turned away takes no place that others
+/// need. A new request for the same key is no retry.
+#[test]
+fn a_retry_past_its_aim_takes_no_place_of_others() {
+    let (key, held) = ("7f3a9c21e0b4d655", 8);
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    config["settings"]["request_classes"][0]["late_value"] = 0.0.into();
+    let router = Router::start(&config);
+    server.usually(Does::ServesLater);
+    server.does(key, Does::IsSilent);
+    let mut client = router.client();
+    client.send("read", key, 100);
+    assert!(client.answer().expect("an answer").starts_with("-BUSY"), "its time is up");
+    let mut others: Vec<Client> = (0..held).map(|_| router.client()).collect();
+    others.iter_mut().enumerate().for_each(|(i, other)| other.send("read", &format!("other{i}"), 4_000));
+    wait_until("half of the places are taken", || server.commands().len() == 1 + held);
+    std::thread::sleep(std::time::Duration::from_millis(600));
+    client.write(&command(&["C.GET", key, "again", "c=read,t=acme,d=3000,r=1"]));
+    assert!(client.answer().expect("an answer").starts_with("-BUSY"), "past its aim");
+    assert_eq!(server.commands().len(), 1 + held, "it was not sent on");
+    server.does(key, Does::Serves);
+    client.write(&command(&["C.GET", key, "new", "c=read,t=acme,d=3000"]));
+    assert!(client.answer().expect("an answer").contains("s-a"));
+    server.open_gate();
+    others.iter_mut().for_each(|other| assert!(other.answer().expect("an answer").contains("s-a")));
+}
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -602,8 +602,8 @@
 
     /// Guards against silence of any cause (a hang, a lost answer, a long queue): while a further attempt is
     /// allowed and earned, this one may take a part of the time left to the aim, and the next has the rest.
-    /// Where late answers are worth something, they are waited for: giving up feeds a jam or a slow origin. So
-    /// does giving up what is not overdue yet: the work goes on, and the next attempt costs as much again.
+    /// Where late answers are worth something, they are waited for: giving up feeds a jam or a slow origin.
+    /// So does giving up what is not overdue yet: the work goes on, and the next attempt costs as much again.
     fn patience(&self, held: &Held, index: usize) -> Option<Micros> {
         let (class, tried) = (self.class(held), held.attempts.len() as u32);
         let left = held.came.plus(class.aim).since(self.now);
