asterport-load begun: the capture form and access logs' lines, both without I/O

Operators cannot replay a real evening; all its commands rest on one form of a capture and on sources read by their servers' own formats.

Change: crates/asterport-load with CaptureWriter and CaptureReader (a version line, blocks with CRC-32C, bounded lengths, counts of what was malformed) and LogFormat (nginx's log_format, Apache's LogFormat, compiled; a line is cut without a copy). postcard, crc32c and memchr do what they are for. docs/design/load.md weighs four ways and decides the rest, which is not built.

Nothing measured yet; no command.

--- /dev/null
+++ b/crates/asterport-load/tests/capture.rs
@@ -0,0 +1,190 @@
+//! The capture form: what is written is read again, and what is damaged says where.
+
+use asterport_load::*;
+use proptest::prelude::*;
+
+fn header() -> Header {
+    Header { begins_us: 1_750_000_000_000_000, sources: vec!["a.log".into(), "b.log.gz".into()] }
+}
+
+fn item(at_us: u64) -> Item {
+    Item { at_us, class: "ambil-soal".into(), key: format!("{:x}", at_us * 31), ..Item::default() }
+}
+
+fn capture(items: &[Item]) -> Vec<u8> {
+    let mut writer = CaptureWriter::new(header()).expect("a header");
+    items.iter().for_each(|item| writer.push(item.clone()).expect("a usable item"));
+    writer.count_malformed("no time");
+    writer.finish()
+}
+
+/// Items until the end or the first error, fed in pieces.
+fn read(bytes: &[u8], piece: usize) -> (Vec<Item>, Result<Option<Summary>, CaptureError>) {
+    let (mut reader, mut items, mut summary) = (CaptureReader::default(), Vec::new(), None);
+    for bytes in bytes.chunks(piece) {
+        reader.feed(bytes);
+        loop {
+            match reader.next() {
+                Ok(None) => break,
+                Ok(Some(Piece::Header(read))) => assert_eq!(read, header()),
+                Ok(Some(Piece::Item(item))) => items.push(item),
+                Ok(Some(Piece::End(end))) => summary = Some(end),
+                Err(error) => return (items, Err(error)),
+            }
+        }
+    }
+    let end = reader.finish().map(|()| summary);
+    (items, end)
+}
+
+fn any_item() -> impl Strategy<Value = Item> {
+    let texts =
+        ("[a-z-]{0,20}", "\\PC{0,40}", any::<Option<bool>>(), any::<Option<u64>>(), any::<Option<u16>>());
+    let rest = (0..1_000_000u64, 0..2u16, any::<bool>(), any::<bool>(), any::<Option<u64>>());
+    (texts, rest).prop_map(|((class, key, tenant, size, status), (at_us, source, write, retry, took_us))| {
+        Item {
+            at_us,
+            source,
+            write,
+            retry,
+            tenant: tenant.map(|name| name.to_string()),
+            cost_hint_us: size,
+            size,
+            idempotency_key: write.then(|| key.clone()),
+            status,
+            took_us,
+            class,
+            key,
+        }
+    })
+}
+
+proptest! {
+    #[test]
+    fn what_is_written_is_read_again(
+        mut items in prop::collection::vec(any_item(), 0..60),
+        piece in 1usize..3_000,
+    ) {
+        items.sort_by_key(|item| item.at_us);
+        let (read, end) = read(&capture(&items), piece);
+        prop_assert_eq!(read, items.clone());
+        let end = end.expect("a whole capture").expect("an end");
+        prop_assert_eq!(end.items, items.len() as u64);
+        prop_assert_eq!(end.malformed.get("no time"), Some(&1));
+    }
+
+    /// Guards memory and the process against files that are no captures, and against those that look like one.
+    #[test]
+    fn noise_is_an_error_and_no_panic(
+        bytes in prop::collection::vec(any::<u8>(), 0..2_000),
+        looks_right in any::<bool>(),
+        piece in 1usize..500,
+    ) {
+        let bytes = if looks_right { [b"asterport-capture 1\n".to_vec(), bytes].concat() } else { bytes };
+        let (items, end) = read(&bytes, piece);
+        prop_assert!(items.is_empty());
+        prop_assert!(end.is_err());
+    }
+}
+
+/// Guards a capture whose writer died: the items of whole blocks are used, and the loss is said.
+#[test]
+fn a_capture_cut_anywhere_gives_what_came_before_and_says_so() {
+    let items: Vec<Item> = (0..40).map(item).collect();
+    let whole = capture(&items);
+    for end in 0..whole.len() {
+        let (read, result) = read(&whole[..end], 1_000);
+        assert!(read.len() == items.len() || read.is_empty(), "whole blocks only, at {end}");
+        let expected =
+            if end == 0 { CaptureError::NotACapture } else { CaptureError::Cut { items: read.len() as u64 } };
+        assert_eq!(result, Err(expected), "cut at {end}");
+    }
+}
+
+#[test]
+fn several_blocks_are_read_and_a_cut_loses_only_the_last() {
+    let items: Vec<Item> = (0..10_000).map(item).collect();
+    let whole = capture(&items);
+    assert_eq!(read(&whole, 4_096).0, items);
+    let (some, result) = read(&whole[..whole.len() * 2 / 3], 4_096);
+    assert!(some.len() > 3_000 && some.len() < 7_000, "{}", some.len());
+    assert_eq!(some, items[..some.len()]);
+    assert_eq!(result, Err(CaptureError::Cut { items: some.len() as u64 }));
+}
+
+/// Guards against damage that goes unseen: one flipped bit anywhere is an error, and no item is read from its block.
+#[test]
+fn a_flipped_bit_anywhere_is_found() {
+    let whole = capture(&(0..8).map(item).collect::<Vec<_>>());
+    for at in 0..whole.len() {
+        for bit in 0..8 {
+            let mut bytes = whole.clone();
+            bytes[at] ^= 1 << bit;
+            let (_, result) = read(&bytes, 1_000);
+            assert!(result.is_err(), "bit {bit} of byte {at}");
+        }
+    }
+}
+
+#[test]
+fn a_newer_form_is_refused_by_its_line() {
+    let error = read(b"asterport-capture 2\nwhat it holds", 7).1.expect_err("a newer form");
+    assert_eq!(error.to_string(), "'asterport-capture 2' is not a version that this program reads");
+    let error = read(b"asterport-capture 1, with\x1b[31m more\n", 7).1.expect_err("another line");
+    assert!(!error.to_string().contains('\x1b'), "{error}");
+}
+
+/// Guards memory: a length that no writer writes is refused before anything of it is held.
+#[test]
+fn a_block_that_claims_too_much_is_refused_at_its_head() {
+    let mut bytes = b"asterport-capture 1\n".to_vec();
+    bytes.extend(u32::MAX.to_le_bytes());
+    bytes.extend([0; 5]);
+    assert_eq!(read(&bytes, 1_000).1, Err(CaptureError::BlockTooLong { offset: 20, bytes: u32::MAX }));
+}
+
+#[test]
+fn what_follows_the_end_is_an_error() {
+    let mut bytes = capture(&[item(1)]);
+    let offset = bytes.len() as u64;
+    bytes.push(b'x');
+    let (items, result) = read(&bytes, 1_000);
+    assert_eq!((items.len(), result), (1, Err(CaptureError::Trailing { offset })));
+}
+
+#[test]
+fn what_follows_the_end_is_an_error_for_who_stops_reading_there() {
+    let mut bytes = capture(&[]);
+    let offset = bytes.len() as u64;
+    bytes.extend(b"xy");
+    let mut reader = CaptureReader::default();
+    reader.feed(&bytes);
+    assert!(matches!(reader.next(), Ok(Some(Piece::Header(_)))));
+    assert!(matches!(reader.next(), Ok(Some(Piece::End(_)))));
+    assert_eq!(reader.finish(), Err(CaptureError::Trailing { offset }));
+}
+
+/// Guards what reads a capture later: a writer takes nothing that a reader would refuse, and stays usable.
+#[test]
+fn an_item_that_cannot_be_kept_is_refused_and_leaves_the_capture_whole() {
+    let mut writer = CaptureWriter::new(header()).expect("a header");
+    writer.push(item(10)).expect("a usable item");
+    let long = Item { key: "k".repeat(1_025), ..item(11) };
+    assert_eq!(writer.push(long), Err(CaptureError::TooLong { what: "key", bytes: 1_025, most: 1_024 }));
+    assert_eq!(writer.push(item(9)), Err(CaptureError::OutOfOrder { at_us: 9, after_us: 10 }));
+    let strange = Item { source: 2, ..item(12) };
+    assert_eq!(writer.push(strange), Err(CaptureError::UnknownSource { source: 2 }));
+    writer.push(item(10)).expect("an equal time is no step back");
+    let (items, end) = read(&writer.finish(), 1_000);
+    assert_eq!(items, [item(10), item(10)]);
+    assert_eq!(end.expect("a whole capture").expect("an end").items, 2);
+}
+
+/// Guards memory: however many kinds of malformed lines a source invents, few are counted apart and none is lost.
+#[test]
+fn kinds_of_malformed_items_are_bounded_and_none_is_lost() {
+    let mut summary = Summary::default();
+    (0..10_000).for_each(|i| summary.count_malformed(&format!("kind {i}")));
+    assert_eq!(summary.malformed.len(), 256);
+    assert_eq!(summary.malformed.values().sum::<u64>(), 10_000);
+}
