--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -382,18 +382,9 @@
         if open.reply.is_none() || until <= now {
             // Guards the rule that nothing goes out for a request that has its answer or no time left.
             open.attempts.push(None);
-            let (outcome, elapsed, note) = (Outcome::Void, Micros(0), None);
             let complete = open.reply.is_none();
-            state.events.push_back(Event::Ended(AttemptEnd {
-                id,
-                attempt,
-                outcome,
-                complete,
-                elapsed,
-                note,
-                begun: false,
-                link: Link::Unknown,
-            }));
+            let end = AttemptEnd { complete, ..AttemptEnd::new(id, attempt, Outcome::Void, Micros(0)) };
+            state.events.push_back(Event::Ended(end));
             return;
         }
         let (cancel, cancelled) = oneshot::channel();
--- a/crates/asterport-load/src/lib.rs
+++ b/crates/asterport-load/src/lib.rs
@@ -7,7 +7,7 @@
 //! use asterport_load::*;
 //!
 //! let mut writer = CaptureWriter::new(Header { begins_us: 1_750_000_000_000_000, sources: vec!["a.log".into()] })?;
-//! writer.push(Item { at_us: 250, class: "ambil-soal".into(), key: "7f3a".into(), ..Item::default() })?;
+//! writer.push(&Item { at_us: 250, class: "ambil-soal".into(), key: "7f3a".into(), ..Item::default() })?;
 //! let bytes = writer.finish();
 //!
 //! let mut reader = CaptureReader::default();
@@ -18,7 +18,6 @@
 //! reader.finish()?;
 //! # Ok::<(), CaptureError>(())
 //! ```
-#![warn(missing_docs)]
 
 mod item;
 mod log_format;
--- a/crates/asterport-testkit/src/lib.rs
+++ b/crates/asterport-testkit/src/lib.rs
@@ -599,17 +599,32 @@
 
 /// A router that knows these servers, and its discovery, which has nothing new.
 pub fn router_of(servers: &[&Server]) -> (Router, Discovery) {
+    router_with(servers, |_| {})
+}
+
+/// The same with other settings: `change` is given the `settings` of its configuration.
+pub fn router_with(servers: &[&Server], change: impl FnOnce(&mut serde_json::Value)) -> (Router, Discovery) {
     let discovery = Discovery::start(list(7, false, &[]));
     let known: Vec<String> = servers.iter().map(|server| server.entry("up")).collect();
-    let router = Router::start(&config(discovery.addr, &known));
+    let mut config = config(discovery.addr, &known);
+    change(&mut config["settings"]);
+    let router = Router::start(&config);
     wait_until("the router watches", || !discovery.calls().is_empty());
     (router, discovery)
 }
 
 /// Two servers; the first is the owner of the key.
 pub fn pair_for(key: &str) -> (Server, Server, Router, Discovery) {
+    pair_with(key, |_| {})
+}
+
+/// The same with other settings, as [`router_with`] takes them.
+pub fn pair_with(
+    key: &str,
+    change: impl FnOnce(&mut serde_json::Value),
+) -> (Server, Server, Router, Discovery) {
     let (a, b) = (Server::start("s-a"), Server::start("s-b"));
-    let (router, discovery) = router_of(&[&a, &b]);
+    let (router, discovery) = router_with(&[&a, &b], change);
     assert!(router.client().ask("read", key).contains("s-"));
     let (owner, other) = if a.commands().is_empty() { (b, a) } else { (a, b) };
     (owner, other, router, discovery)
--- a/crates/onyxpick/src/api.rs
+++ b/crates/onyxpick/src/api.rs
@@ -261,6 +261,15 @@
 
 impl std::error::Error for SettingsError {}
 
+impl AttemptEnd {
+    /// An end of which no more is known: the client still has no answer, no note came, nothing had begun to come back, and
+    /// the connection is unknown.
+    pub fn new(id: RequestId, attempt: AttemptNo, outcome: Outcome, elapsed: Micros) -> Self {
+        let (complete, note, begun, link) = (false, None, false, Link::Unknown);
+        AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link }
+    }
+}
+
 impl Settings {
     /// Checks every value and names the first that cannot be used.
     pub fn validate(&self) -> Result<(), SettingsError> {
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -360,11 +360,10 @@
     }
 
     fn remember_turned_away(&mut self, held: &Held) {
-        let (alike, mut slots) = turned_away_slots(held.place, &held.ask);
-        let first = slots.next().unwrap_or_default();
-        let oldest =
-            slots.fold(first, |a, b| if self.turned_away[b].1 < self.turned_away[a].1 { b } else { a });
-        self.turned_away[oldest] = (alike, held.came);
+        let (alike, slots) = turned_away_slots(held.place, &held.ask);
+        if let Some(oldest) = slots.min_by_key(|&i| self.turned_away[i].1) {
+            self.turned_away[oldest] = (alike, held.came);
+        }
     }
 
     fn count_tenant(&mut self, tenant: Option<TenantId>) {
