A limit on fetches that counts what was given up and comes back within seconds

Ruled out by probes: more known keys, a floor by servers' places, late answers.

Change: `onyxpick/src/origin.rs` bounds fetches by what is out, given-up ones for as long again; cuts only while fetches are slow on the whole; spaces them out under one; learns the share of misses by how often a key is asked for.

--- a/crates/asterport-sim/src/play.rs
+++ b/crates/asterport-sim/src/play.rs
@@ -172,6 +172,7 @@
             max_retry_after: Micros(SECOND),
         },
         connection_idle: Micros(plan.conn_idle),
+        origin_falls: false,
         ..Settings::default()
     };
     let text = |names: &[&str]| names.iter().map(|name| (*name).to_string()).collect();
--- a/crates/onyxpick-benchlink/tests/adapter.rs
+++ b/crates/onyxpick-benchlink/tests/adapter.rs
@@ -14,7 +14,12 @@
 specifics.mode=through\tspecifics.origin_kind=-1\tsome.new.key=7";
 
 fn run(input: &str) -> Output {
+    run_with(&[], input)
+}
+
+fn run_with(arguments: &[&str], input: &str) -> Output {
     let mut child = Command::new(env!("CARGO_BIN_EXE_onyxpick-benchlink"))
+        .args(arguments)
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
@@ -209,3 +214,21 @@
     assert!(output.contains(&"let_go\t3\t10.0.0.1:80".to_string()), "{output:?}");
     assert!(output.iter().any(|l| l.starts_with("send\t3\t77\t") && !l.ends_with("\t0")), "{output:?}");
 }
+
+/// A trace leaves the replies as they are; what it cannot write is said before anything is read.
+#[test]
+fn a_trace_has_a_line_a_second_and_changes_no_reply() {
+    let input = format!("sync\t100.5\n{}commit\nsync\t100.7\ncommit\nsync\t102\ncommit\n", up(3));
+    let path = std::env::temp_dir().join(format!("benchlink-trace-{}", std::process::id()));
+    let traced = run_with(&["--trace", path.to_str().expect("a plain path")], &input);
+    assert_eq!(stdout(&traced), stdout(&run(&input)));
+    let text = std::fs::read_to_string(&path).expect("the trace");
+    std::fs::remove_file(&path).expect("removed");
+    let starts: Vec<_> = text.lines().map(|line| line.split_whitespace().next().unwrap_or("")).collect();
+    assert_eq!(starts, ["second", "100.5", "102.0"]);
+    for arguments in [&["--trace"][..], &["--trace", "/nowhere/at/all"], &["--other", "x"]] {
+        let refused = run_with(arguments, "");
+        assert_eq!(refused.status.code(), Some(2), "{arguments:?}");
+        assert_eq!(String::from_utf8_lossy(&refused.stderr).lines().count(), 1, "{arguments:?}");
+    }
+}
--- a/crates/onyxpick/src/api.rs
+++ b/crates/onyxpick/src/api.rs
@@ -242,6 +242,8 @@
     pub limits: Limits,
     /// Idle connections are closed after this long.
     pub connection_idle: Micros,
+    /// An origin that is sent too much for too long stops for some seconds.
+    pub origin_falls: bool,
 }
 
 /// A setting that cannot be used.
@@ -589,6 +591,7 @@
                 max_retry_after: Micros::from_millis(1_000),
             },
             connection_idle: Micros::from_millis(15_000),
+            origin_falls: true,
         }
     }
 }
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -5,6 +5,7 @@
 //! Departures skip a candidate, refuse or time an attempt. Attempts leave by `send`, answers by `answer`.
 
 use crate::api::*;
+use crate::origin::{Claim, FAMILIAR, Origin};
 use crate::state::*;
 use md5::{Digest, Md5};
 
@@ -170,6 +171,7 @@
         router.known = vec![(0, usize::MAX); KNOWN_KEYS];
         router.mean_worth = mean_worth;
         router.usual = shortest_aim.scaled(SLOW_SHARE);
+        router.fetches = Origin::new(first, router.usual);
         router.shortest_aim = shortest_aim;
         Ok(router)
     }
@@ -331,11 +333,14 @@
             self.popular.retain(|_, count| *count >= 0.5);
         }
         self.asked_for += 1.0;
-        *self.popular.entry(points[0]).or_insert(0.0) += 1.0;
+        let count = self.popular.entry(points[0]).or_insert(0.0);
+        *count += 1.0;
+        let familiar =
+            if ask.write { 0 } else { [1.5, 2.5, 4.5].iter().filter(|&&least| *count > least).count() };
         self.set_timer(ask.expires.since(self.now), id, TIMER_DEADLINE);
         let slice = f64::from(points[1]) / f64::from(u32::MAX);
         let came = if ask.retry { self.first_came(&ask, points[0]) } else { self.now };
-        self.held.insert(id, Held::new(ask, came, points[0], slice));
+        self.held.insert(id, Held::new(ask, came, points[0], slice, familiar));
         self.advance(id);
     }
 
@@ -430,6 +435,10 @@
         if aside && (held.ask.write || held.missed) {
             return self.origin(stretch, chance);
         }
+        // A move drives out another key besides, which is fetched again too: it is served last.
+        let fetch = aside || self.may_fetch(held.familiar, stretch);
+        let room = if self.fetches.has_queue() { MOVE_ROOM } else { 1.0 };
+        let move_off = aside || (fetch && self.may_fetch(held.familiar, stretch * room));
         let caches = || self.servers.iter().filter(|s| s.is_ready() && !s.is_origin);
         let (now, rules) = (self.now, &self.settings.rules);
         let weights = self.settings.weights;
@@ -443,7 +452,6 @@
         let (mut first, mut paid, mut passed) = (true, false, None);
         // A write needs the origin wherever it runs, so that going elsewhere costs nothing.
         let spill = held.ask.write || self.retry_tokens >= 1.0;
-        let fetch = aside || self.may_fetch(stretch, chance);
         // A key hotter than its server has further homes clockwise; each router keeps to one of them.
         // A further attempt goes to one of a few, or all routers would crowd the next as they did the owner.
         let spread = (HOT_ROOM * self.heat(held.place)).max(SPREAD * held.met() as f64);
@@ -469,7 +477,7 @@
             paid = !near && !free(index) && !held.ask.write;
             let room = if paid { MOVE_ROOM } else { 1.0 };
             self.has_place(server, stretch * room * server.capacity(now, rules))
-                && (free(index) || (fetch && (near || spill)))
+                && (free(index) || if near { fetch } else { move_off && spill })
         });
         self.retry_tokens -= if found.is_some() && paid { 1.0 } else { 0.0 };
         // Of those further homes none may be fit: then an earlier one is better than none.
@@ -478,11 +486,13 @@
 
     /// What is not known to be kept is a fetch as often as such requests missed lately: one router of many
     /// has asked for few of the keys that are kept. What takes longer than hits do is one surely.
-    fn may_fetch(&self, stretch: f64, chance: f64) -> bool {
+    fn may_fetch(&mut self, familiar: usize, stretch: f64) -> bool {
         let out = self.held.values().flat_map(|h| &h.attempts).filter(|a| a.fetch && a.fate == Fate::Out);
-        let young = out.filter(|a| self.now.since(a.sent) <= self.usual.scaled(2.0)).count() as f64;
-        let likely = f64::from(self.fetches.in_flight) - young * (1.0 - self.misses);
-        Gauge { in_flight: likely as u32, ..self.fetches }.has_room(stretch, chance)
+        let mut young = [0; FAMILIAR];
+        let since = self.now.since(self.usual.scaled(2.0));
+        out.filter(|a| a.sent >= since).for_each(|a| young[a.familiar] += 1);
+        let round = self.usual.scaled(f64::from(self.settings.routers) / self.ready.max(1) as f64);
+        self.fetches.has_room(self.now, &young, &Claim { familiar, stretch, round })
     }
 
     /// Under one, a server's limit spaces requests out, so that many routers together do not crowd it.
@@ -550,11 +560,12 @@
             sent: self.now,
             fate: Fate::Out,
             fetch,
+            familiar: held.familiar,
             idle,
             unmet: false,
         });
         self.servers[index].last_used = self.now;
-        self.fetches.in_flight += u32::from(fetch);
+        self.fetches.out += u32::from(fetch);
         self.servers[index].load.in_flight += 1;
         self.servers[index].last_sent = self.now;
         self.servers[index].due = 1.0;
@@ -663,7 +674,7 @@
         if let Some(tried) = tried {
             tried.unmet = self.servers[tried.server].is_unmet(&end);
             tried.fate = if end.outcome.never_ran() { Fate::NeverRan } else { Fate::MayHaveRan };
-            let (index, fetch, idle) = (tried.server, tried.fetch, tried.idle);
+            let (index, fetch, idle, familiar) = (tried.server, tried.fetch, tried.idle, tried.familiar);
             let end = self.with_note(end);
             self.servers[index].last_used = self.now;
             self.learn_connection(idle, &end);
@@ -671,10 +682,10 @@
             let slow = end.elapsed > aim.scaled(SLOW_SHARE) && end.link != Link::New;
             self.popular.entry(held.place).and_modify(|count| *count += f64::from(u8::from(slow)));
             self.servers[index].load.in_flight -= 1;
-            self.fetches.in_flight -= u32::from(fetch);
+            self.fetches.out -= u32::from(fetch);
             self.close_drained(index);
             self.learn_silence(index, &end);
-            self.learn_load(index, fetch, &end, aim);
+            self.learn_load(index, fetch, familiar, &end, aim);
             // What an origin answers is kept where the request missed.
             let home = held.attempts.iter().rev().map(|a| a.server).find(|&i| !self.servers[i].is_origin);
             let home = home.unwrap_or(index);
@@ -736,7 +747,7 @@
     }
 
     /// How long hits take tells of the server; what fetches take beyond that, or a failure, of the origin.
-    fn learn_load(&mut self, index: usize, fetch: bool, end: &AttemptEnd, aim: Micros) {
+    fn learn_load(&mut self, index: usize, fetch: bool, familiar: usize, end: &AttemptEnd, aim: Micros) {
         // Where routers are many, each sees too little of a server to learn in time.
         let little = f64::from(self.settings.routers) > FIRST_TOTAL;
         let least = (LEAST_TOTAL / f64::from(self.settings.routers)).min(1.0);
@@ -746,7 +757,8 @@
         // What hangs on a fetch is no server's fault; where little is seen, fetches must have failed first.
         let trusted = if little { 1.0 - CUT } else { self.fetches.first };
         let silent = server.unheard >= SILENT;
-        let hung = !silent && (self.fetches.limit < trusted || (fetch && !little));
+        let hung =
+            !silent && (self.fetches.limit < trusted || (fetch && (!little || self.fetches.is_slow())));
         let (served, late) = (end.outcome == Outcome::Success, end.outcome == Outcome::TimedOut);
         let hit = served && !missed && !server.is_origin;
         // A quick miss frees a throttled server too: most answers may be misses.
@@ -785,14 +797,21 @@
             self.usual = self.usual.toward(end.elapsed, 8);
         }
         if fetch && served && end.note.is_some() {
-            self.misses += (f64::from(u8::from(missed)) - self.misses) / MISS_SPAN;
+            self.fetches.told(familiar, missed);
         }
+        let sent = Micros(self.now.0.saturating_sub(end.elapsed.0));
         match end.outcome {
-            Outcome::Success if fetch && !(handshake && beyond > aim) => {
-                self.fetches.learn(beyond > aim, LEAST_LIMIT)
+            Outcome::Success if fetch && end.note != Some(CacheNote::Hit) && !(handshake && beyond > aim) => {
+                self.fetches.fetched(sent, beyond, beyond <= aim)
+            }
+            Outcome::TimedOut if fetch && hung => {
+                self.fetches.gave_up(self.now, end.elapsed, beyond, beyond <= half)
+            }
+            Outcome::TimedOut if fetch && !silent => self.fetches.late(),
+            // A quick error cost the origin nothing, unless too much of them stops it.
+            Outcome::Failure if fetch && missed && (beyond > half || self.settings.origin_falls) => {
+                self.fetches.failed(sent)
             }
-            Outcome::TimedOut if fetch && hung => self.fetches.learn(beyond > half, LEAST_LIMIT),
-            Outcome::Failure if fetch && missed => self.fetches.learn(true, LEAST_LIMIT),
             _ => {}
         }
     }
@@ -827,7 +846,7 @@
         } else {
             for attempt in held.attempts.iter().filter(|a| a.fate == Fate::Out) {
                 self.servers[attempt.server].load.in_flight -= 1;
-                self.fetches.in_flight -= u32::from(attempt.fetch);
+                self.fetches.out -= u32::from(attempt.fetch);
                 self.close_drained(attempt.server);
             }
         }
--- a/crates/onyxpick/src/lib.rs
+++ b/crates/onyxpick/src/lib.rs
@@ -44,8 +44,11 @@
 
 mod api;
 mod balance;
+mod origin;
 pub mod params;
 mod state;
+mod view;
 
 pub use api::*;
 pub use state::Router;
+pub use view::View;
--- a/crates/onyxpick/src/params.rs
+++ b/crates/onyxpick/src/params.rs
@@ -136,6 +136,7 @@
             max_retry_after: Micros::from_secs_f64(params.number_or("limits.max_retry_after", 0.0)?),
         },
         connection_idle: params.optional_time("limits.conn_idle")?.unwrap_or(Micros::MAX),
+        origin_falls: params.number_or("specifics.origin_fall_multiple", 1.0)? > 0.0,
     };
     let names = Names { classes: class_names, tenants: tenant_names, zones, kinds };
     let dial_timeout = params.optional_time("limits.dial_timeout")?.unwrap_or(Micros::MAX);
--- a/crates/onyxpick/src/state.rs
+++ b/crates/onyxpick/src/state.rs
@@ -1,6 +1,7 @@
 //! What a router remembers, as plain data. What is done with it is decided in `src/balance.rs`.
 
 use crate::api::*;
+use crate::origin::Origin;
 use std::collections::HashMap;
 
 /// Work at one place and how much of it is wanted there.
@@ -26,6 +27,8 @@
     pub fate: Fate,
     /// Counted as a fetch from the origin.
     pub fetch: bool,
+    /// How often its key was asked for: [`crate::origin::FAMILIAR`].
+    pub familiar: usize,
     /// How long the connection it went out on had been idle; `None` for a new or a busy one.
     pub idle: Option<Micros>,
     /// It met a kept connection that was dead already: its server may be tried again.
@@ -44,14 +47,15 @@
     pub attempts: Vec<Attempt>,
     pub answered: bool,
     pub streaming: bool,
+    pub familiar: usize,
     /// A cache answered that it lacks the key.
     pub missed: bool,
 }
 
 impl Held {
-    pub fn new(ask: Request, came: Micros, place: u32, slice: f64) -> Held {
+    pub fn new(ask: Request, came: Micros, place: u32, slice: f64, familiar: usize) -> Held {
         let (attempts, answered, streaming, missed) = (Vec::new(), false, false, false);
-        Held { ask, came, place, slice, attempts, answered, streaming, missed }
+        Held { ask, came, place, slice, attempts, answered, streaming, familiar, missed }
     }
 
     pub fn is_out(&self) -> bool {
@@ -136,9 +140,7 @@
     pub(crate) turned_away: Vec<(u64, Micros)>,
     pub(crate) retry_tokens: f64,
     /// Requests at work that most likely are fetches (where servers fetch for themselves).
-    pub(crate) fetches: Gauge,
-    /// The share of such requests that were, smoothed.
-    pub(crate) misses: f64,
+    pub(crate) fetches: Origin,
     /// Of the attempts that failed without a word on how, the share that failed late, smoothed.
     pub(crate) late_failures: f64,
     pub(crate) idle: Gauge,
@@ -183,8 +185,7 @@
             held: HashMap::new(),
             turned_away: Vec::new(),
             retry_tokens: 0.0,
-            fetches: gauge,
-            misses: 1.0,
+            fetches: Origin::new(gauge.first, Micros(0)),
             late_failures: 0.0,
             idle: gauge,
             known: Vec::new(),
