Queues told by reports and answer times; keys move only while the rest has room

At an origin that takes longer than the aim by nature each fetch was held to show a queue and the limit stayed at its floor; and a router of many needed five fetches, 4 s apart, to come back from it.

Change: load reports are read (stats in the settings, on both wires, bounded and checked) and a new module, queue.rs, tells from them or from answer times whether requests wait at a server. Moves while the rest of the fleet uses under 0.3 of its limits, else off servers in trouble. A fetch is of use by the late worth of its class; one that meets no queue ends a collapse. The rig's origin drains at its present speed (it held what it took on while slow at that speed).

--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -432,11 +432,21 @@
                 None => true,
             }
         };
-        let Ended { mut outcome, note, begun, link, .. } = ended;
+        let Ended { mut outcome, note, begun, link, load, .. } = ended;
         if planted::has(Bug::RepeatsUnsafe) && outcome == Outcome::Broken {
             outcome = Outcome::Unreachable;
         }
-        self.handle(Event::Ended(AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link }));
+        self.handle(Event::Ended(AttemptEnd {
+            id,
+            attempt,
+            outcome,
+            complete,
+            elapsed,
+            note,
+            begun,
+            link,
+            load,
+        }));
         self.forget(id);
     }
 
--- a/crates/asterport-engine/src/engine.rs
+++ b/crates/asterport-engine/src/engine.rs
@@ -81,7 +81,7 @@
     /// # Errors
     /// One plain sentence on the setting that cannot be used.
     pub fn new(world: W, start: Start) -> Result<Engine<W>, String> {
-        let Deployment { mut settings, names, dial_timeout } = start.deployment;
+        let Deployment { mut settings, names, dial_timeout, reports } = start.deployment;
         for class in &mut settings.classes {
             if let Effect::Keyed { group, memory } = &mut class.effect {
                 if planted::has(Bug::RepeatsPastMemory) {
@@ -108,7 +108,7 @@
         let pushed = settings.discovery == Listing::Push;
         let router = Router::new(settings, start.seed).map_err(|e| e.to_string())?;
         let names = Rc::new(names);
-        let servers = Servers::new(limits, world.clone());
+        let servers = Servers::new(limits, reports, world.clone());
         let driver = Driver::new(router, servers.clone(), world.clone());
         let discovery = Discovery::new(
             start.discovery,
--- a/crates/asterport-engine/src/resp.rs
+++ b/crates/asterport-engine/src/resp.rs
@@ -97,14 +97,17 @@
 }
 
 /// What a cache server said: the rows of the table of outcomes, and nothing else.
+/// The text of a load report, where one came: printable, and no longer than a peer's line.
+pub type Report = Option<Bytes>;
+
 #[derive(Debug, PartialEq, Eq)]
 pub enum Reply {
     /// The value or receipt as bytes for the client, and how the read went.
-    Served { bytes: Bytes, note: Option<CacheNote> },
+    Served { bytes: Bytes, note: Option<CacheNote>, report: Report },
     /// `-ERR`.
-    Failed,
+    Failed(Report),
     /// `-BUSY`.
-    Busy,
+    Busy(Report),
 }
 
 /// How long a line of a peer's may be: an error with a load report, a header, a load report.
@@ -125,7 +128,7 @@
 }
 
 impl ReplyReader {
-    /// The value is whole, and how the read went: what is missing is the load report, which nobody reads.
+    /// The value is whole, and how the read went: what is missing is the load report.
     pub fn has_value(&self) -> bool {
         self.items == 3
     }
@@ -163,8 +166,10 @@
         match bulk(buffer, self.at, MAX_REPORT) {
             Ok(None) => Ok(None),
             Ok(Some((report, end))) if report.is_none_or(|text| text.iter().all(is_printable)) => {
+                let text = report.map(|text| end - 2 - text.len()..end - 2);
                 let bytes = buffer.split_to(end).freeze();
-                Ok(Some(Reply::Served { bytes, note: self.note }))
+                let report = text.map(|text| bytes.slice(text));
+                Ok(Some(Reply::Served { bytes, note: self.note, report }))
             }
             // What is left in the buffer tells that the connection is of no further use.
             Ok(Some(_)) | Err(_) => Ok(Some(self.served_without_report(buffer))),
@@ -174,7 +179,7 @@
     /// The answer with a null for the load report that could not be read or never came.
     pub fn served_without_report(&self, buffer: &BytesMut) -> Reply {
         let bytes = Bytes::from([&buffer[..self.at], b"$-1\r\n"].concat());
-        Reply::Served { bytes, note: self.note }
+        Reply::Served { bytes, note: self.note, report: None }
     }
 }
 
@@ -184,14 +189,15 @@
 
 fn error_reply(buffer: &mut BytesMut) -> Result<Option<Reply>, RespError> {
     let Some(length) = line(buffer, MAX_ERROR)? else { return Ok(None) };
-    let text = buffer.split_to(length + 2);
-    let text = &text[1..length];
+    let text = buffer.split_to(length + 2).freeze().slice(1..length);
     if !text.iter().all(is_printable) {
         return Err(RespError::Malformed);
     }
+    // The report may stand last, after a space; a word of the error's own reads as none.
+    let last = text.iter().rposition(|&byte| byte == b' ').map(|space| text.slice(space + 1..));
     match text.split(|&byte| byte == b' ').next() {
-        Some(b"ERR") => Ok(Some(Reply::Failed)),
-        Some(b"BUSY") => Ok(Some(Reply::Busy)),
+        Some(b"ERR") => Ok(Some(Reply::Failed(last))),
+        Some(b"BUSY") => Ok(Some(Reply::Busy(last))),
         _ => Err(RespError::Malformed),
     }
 }
@@ -436,6 +442,21 @@
         }
     }
 
+    #[test]
+    fn a_report_is_told_apart_wherever_it_stands() {
+        let report = |text: &[u8]| match reply_of(text) {
+            Ok(Some(Reply::Served { report, .. } | Reply::Failed(report) | Reply::Busy(report))) => report,
+            other => panic!("{other:?}"),
+        };
+        let util = Some(Bytes::from_static(b"util=0.5,queue=2"));
+        let good = framed(&[b"v".to_vec(), b"hit".to_vec(), b"util=0.5,queue=2".to_vec()]);
+        assert_eq!(report(&good), util);
+        assert_eq!(report(b"-ERR failed util=0.5,queue=2\r\n"), util);
+        assert_eq!(report(b"-BUSY util=0.5,queue=2\r\n"), util);
+        assert_eq!(report(b"-BUSY\r\n"), None);
+        assert_eq!(report(b"*3\r\n$1\r\nv\r\n$3\r\nhit\r\n$-1\r\n"), None);
+    }
+
     #[test]
     fn too_much_is_turned_away_by_its_header() {
         let large = |text: &str| assert_eq!(command_of(text.as_bytes()), Err(RespError::TooLarge), "{text}");
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -1,10 +1,10 @@
 //! Connections to the cache servers: pools, attempts, and what comes back as an [`Outcome`].
 
 use crate::planted::{self, Bug};
-use crate::resp::{Command, READ_SIZE, Reply, ReplyReader};
+use crate::resp::{Command, READ_SIZE, Reply, ReplyReader, Report};
 use crate::seam::{Stream, World};
 use bytes::{Bytes, BytesMut};
-use onyxpick::{CacheNote, Link, Micros, Outcome, ServerId, ServerState};
+use onyxpick::{CacheNote, Columns, Link, Load, Micros, Outcome, ServerId, ServerState};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -64,11 +64,13 @@
     pub begun: bool,
     /// The connection that it went out on.
     pub link: Link,
+    /// What the server said of itself.
+    pub load: Option<Load>,
 }
 
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
-        Ended { outcome, note: None, answer: None, begun: false, link: Link::Unknown }
+        Ended { outcome, note: None, answer: None, begun: false, link: Link::Unknown, load: None }
     }
 }
 
@@ -78,6 +80,8 @@
     /// In the order of their names, so that equal days go alike.
     pools: RefCell<BTreeMap<ServerId, Pool<W>>>,
     limits: Limits,
+    /// What load reports hold.
+    reports: Columns,
     room: Arc<Semaphore>,
     /// Empty but for a planted bug.
     leaked: RefCell<Vec<Connection<W>>>,
@@ -102,9 +106,16 @@
 }
 
 impl<W: World> Servers<W> {
-    pub fn new(limits: Limits, world: W) -> Rc<Self> {
+    pub fn new(limits: Limits, reports: Columns, world: W) -> Rc<Self> {
         let room = Arc::new(Semaphore::new(limits.connections));
-        Rc::new(Servers { world, pools: RefCell::default(), limits, room, leaked: RefCell::default() })
+        Rc::new(Servers {
+            world,
+            pools: RefCell::default(),
+            limits,
+            reports,
+            room,
+            leaked: RefCell::default(),
+        })
     }
 
     /// Idle connections.
@@ -210,7 +221,7 @@
                     if connection.received.is_empty() {
                         self.put_back(server, connection);
                     }
-                    return reply.into();
+                    return self.ended(reply);
                 }
                 Ok(None) => {}
                 Err(_) => return broken(true),
@@ -229,7 +240,7 @@
                     connection.stream.acknowledge();
                 }
                 Err(_) if limit == until && whole.until() > until => {}
-                _ if reader.has_value() => return reader.served_without_report(received).into(),
+                _ if reader.has_value() => return self.ended(reader.served_without_report(received)),
                 Err(_) if limit == until => {
                     if planted::has(Bug::ReusesTimedOut) {
                         self.put_back(server, connection);
@@ -246,6 +257,19 @@
         }
     }
 
+    fn ended(&self, reply: Reply) -> Ended {
+        let read = |report: Report| {
+            let report = report.filter(|_| !self.reports.is_empty())?;
+            std::str::from_utf8(&report).ok().and_then(|text| self.reports.read_pairs(text))
+        };
+        let (outcome, note, answer, report) = match reply {
+            Reply::Served { bytes, note, report } => (Outcome::Success, note, Some(bytes), report),
+            Reply::Failed(report) => (Outcome::Failure, None, None, report),
+            Reply::Busy(report) => (Outcome::Overloaded, None, None, report),
+        };
+        Ended { outcome, note, answer, begun: true, link: Link::Unknown, load: read(report) }
+    }
+
     /// The idle connection used last but not just now, so that the others grow old and are retired; and how long it
     /// was idle.
     fn idle_connection(&self, server: &ServerId) -> Option<(Connection<W>, Duration)> {
@@ -315,14 +339,3 @@
         }
     }
 }
-
-impl From<Reply> for Ended {
-    fn from(reply: Reply) -> Self {
-        let (outcome, note, answer) = match reply {
-            Reply::Served { bytes, note } => (Outcome::Success, note, Some(bytes)),
-            Reply::Failed => (Outcome::Failure, None, None),
-            Reply::Busy => (Outcome::Overloaded, None, None),
-        };
-        Ended { outcome, note, answer, begun: true, link: Link::Unknown }
-    }
-}
--- a/crates/asterport-sim/src/fleet.rs
+++ b/crates/asterport-sim/src/fleet.rs
@@ -60,9 +60,10 @@
     judge: Rc<RefCell<Judge>>,
     dice: RefCell<Dice>,
     plan: Rc<Plan>,
+    /// When each slot of the origin is free, on its own clock.
     origin: RefCell<Vec<Time>>,
-    /// Times as long as usual, less one.
-    pub origin_slow: Cell<f64>,
+    origin_pace: Cell<Pace>,
+    origin_turns: tokio::sync::Notify,
     /// Keyed requests by zone and key: when they ran.
     ran: RefCell<BTreeMap<String, Time>>,
     works: BTreeMap<u64, (f64, usize)>,
@@ -86,7 +87,8 @@
             judge,
             dice: RefCell::new(Dice::new(plan.seed, 4)),
             origin: RefCell::new(vec![0; plan.origin_slots]),
-            origin_slow: Cell::new(0.0),
+            origin_pace: Cell::default(),
+            origin_turns: tokio::sync::Notify::new(),
             ran: RefCell::default(),
             works,
             routers: RefCell::default(),
@@ -99,11 +101,35 @@
         self.routers.borrow_mut().insert(node, router);
     }
 
-    /// When a fetch that begins now is there; none if the origin turns it away.
-    fn fetch(&self) -> Option<Time> {
+    /// From now on the origin takes so many times as long as usual, less one; also for what it has taken already.
+    pub fn slow_origin(&self, slow: f64) {
         let now = self.exec.now();
-        let time = self.plan.origin_time as f64 * (1.0 + self.origin_slow.get());
-        let time = (time * self.dice.borrow_mut().between(0.6, 1.5)) as Time;
+        self.origin_pace.set(Pace { since: now, shown: self.origin_pace.get().shows(now), slow });
+        self.origin_turns.notify_waiters();
+    }
+
+    /// Waits until the origin's clock shows this.
+    async fn origin_shows(&self, then: Time) {
+        loop {
+            let turns = self.origin_turns.notified();
+            let (now, pace) = (self.exec.now(), self.origin_pace.get());
+            let left = then.saturating_sub(pace.shows(now));
+            if left == 0 {
+                return;
+            }
+            tokio::select! {
+                biased;
+                () = turns => {}
+                () = self.exec.sleep_until(now + (left as f64 * (1.0 + pace.slow)).ceil() as Time) => {}
+            }
+        }
+    }
+
+    /// When a fetch that begins now is there, on the origin's clock; none if the origin turns it away.
+    fn fetch(&self) -> Option<Time> {
+        let now = self.origin_pace.get().shows(self.exec.now());
+        let time = self.plan.origin_time as f64 * self.dice.borrow_mut().between(0.6, 1.5);
+        let time = time as Time;
         let mut slots = self.origin.borrow_mut();
         let slot = slots.iter_mut().min()?;
         let start = (*slot).max(now);
@@ -115,6 +141,20 @@
     }
 }
 
+/// The origin's own clock, which runs slower while the origin does.
+#[derive(Clone, Copy, Debug, Default)]
+struct Pace {
+    since: Time,
+    shown: Time,
+    slow: f64,
+}
+
+impl Pace {
+    fn shows(&self, now: Time) -> Time {
+        self.shown + ((now - self.since) as f64 / (1.0 + self.slow)) as Time
+    }
+}
+
 /// What a request comes to.
 enum Done {
     Served { miss: bool },
@@ -306,7 +346,7 @@
                 exec.sleep(MILLI).await;
                 return Done::Failed;
             };
-            exec.sleep_until(there).await;
+            fleet.origin_shows(there).await;
             let until = exec.now() + KEEPS;
             if call.write {
                 self.kept.borrow_mut().remove(&call.key);
--- a/crates/asterport-sim/src/plan.rs
+++ b/crates/asterport-sim/src/plan.rs
@@ -432,7 +432,8 @@
 
     /// When the day ends: long enough after the last ask for every deadline to pass.
     pub fn ends(&self) -> Time {
-        CLOSES + self.longest_deadline() + SECOND
+        let last = self.asks.last().map_or(0, |ask| ask.at);
+        last.max(CLOSES) + self.longest_deadline() + SECOND
     }
 
     /// The deadline of a class: reads wait less long.
--- a/crates/asterport-sim/src/play.rs
+++ b/crates/asterport-sim/src/play.rs
@@ -15,7 +15,7 @@
 use asterport_joining::{JoiningFile, Rules};
 use onyxpick::params::{Deployment, Names};
 use onyxpick::{
-    Class, Discovery as Listing, Effect, Group, Limits, Micros, Settings, Tenant, Weights, ZoneId,
+    Class, Columns, Discovery as Listing, Effect, Group, Limits, Micros, Settings, Tenant, Weights, ZoneId,
 };
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
@@ -182,7 +182,7 @@
         zones: text(&["z0", "z1", "z2"]),
         kinds: text(&["m"]),
     };
-    Deployment { settings, names, dial_timeout: Micros(plan.dial_timeout) }
+    Deployment { settings, names, dial_timeout: Micros(plan.dial_timeout), reports: Columns::default() }
 }
 
 /// The rules of joining for all reads of a deployment like these.
@@ -435,8 +435,8 @@
                 }
             }
             Kind::OriginSlow => {
-                self.shared.origin_slow.set(1.5 + 5.0 * fault.size);
-                self.after(length, |day| day.shared.origin_slow.set(0.0));
+                self.shared.slow_origin(1.5 + 5.0 * fault.size);
+                self.after(length, |day| day.shared.slow_origin(0.0));
             }
             Kind::DiscoveryDown => {
                 self.discovery.down_until.set(now + length);
--- a/crates/asterport-sim/src/scene.rs
+++ b/crates/asterport-sim/src/scene.rs
@@ -15,7 +15,9 @@
 use asterport_engine::seam::World;
 use asterport_engine::{Engine, List, Start};
 use onyxpick::params::{Deployment, Names};
-use onyxpick::{Class, Discovery as Listing, Effect, Group, Limits, Micros, Rules, Settings, Tenant};
+use onyxpick::{
+    Class, Columns, Discovery as Listing, Effect, Group, Limits, Micros, Rules, Settings, Tenant,
+};
 use std::cell::{Cell, RefCell};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -490,5 +492,5 @@
         zones: text(&["z0", "z1"]),
         kinds: text(&["m"]),
     };
-    Deployment { settings, names, dial_timeout: Micros(300 * MILLI) }
+    Deployment { settings, names, dial_timeout: Micros(300 * MILLI), reports: Columns::default() }
 }
--- a/crates/asterport/tests/router_servers.rs
+++ b/crates/asterport/tests/router_servers.rs
@@ -464,3 +464,24 @@
     server.open_gate();
     others.iter_mut().for_each(|other| assert!(other.answer().expect("an answer").contains("s-a")));
 }
+
+/// Guards routers of many: one of forty spaces out what it sends a server that turned requests away, unless the server
+/// says in its answers that it waits for work.
+#[test]
+fn the_report_of_a_server_that_waits_for_work_is_heeded_where_the_settings_name_one() {
+    let reached = |columns: &str, report: &str| {
+        let server = Server::start("s-a");
+        server.usually(Does::Says(format!("-BUSY {report}\r\n").into_bytes()));
+        let (router, _discovery) = router_with(&[&server], |config| {
+            config["peers_total"] = 40.into();
+            config["stats"] = serde_json::json!({"how": "inline", "columns": columns});
+        });
+        let mut client = router.client();
+        (0..12).for_each(|_| assert!(client.ask("read", "7f3a9c21e0b4d655").starts_with("-BUSY")));
+        server.commands().len()
+    };
+    assert_eq!(reached("utilization,backlog", "util=0.2,queue=0"), 12, "all are sent");
+    assert!(reached("utilization,backlog", "util=1.0,queue=9") < 8, "a queue");
+    assert!(reached("utilization,backlog", "util=lots,queue=-3") < 8, "no figures");
+    assert!(reached("", "util=0.2,queue=0") < 8, "no reports here");
+}
--- a/crates/onyxpick-benchlink/src/main.rs
+++ b/crates/onyxpick-benchlink/src/main.rs
@@ -6,7 +6,7 @@
 mod wire;
 
 use onyxpick::params::{self, Deployment};
-use onyxpick::{Action, Router};
+use onyxpick::{Action, Columns, Router};
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufWriter, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -18,6 +18,7 @@
 struct Instance {
     router: Router,
     names: params::Names,
+    reports: Columns,
 }
 
 /// Reads lines and counts them.
@@ -114,9 +115,10 @@
                     let number = line.integer("router")?;
                     let seed = line.integer("rng_seed")?;
                     let pairs = wire::pairs(line.rest())?;
-                    let Deployment { settings, names, .. } = params::read(pairs).map_err(WireError::from)?;
+                    let Deployment { settings, names, reports, .. } =
+                        params::read(pairs).map_err(WireError::from)?;
                     let router = Router::new(settings, seed).map_err(|e| WireError::new(e.to_string()))?;
-                    instances.insert(number, Instance { router, names });
+                    instances.insert(number, Instance { router, names, reports });
                 }
                 "exit" => {
                     instances.remove(&line.integer("router")?);
@@ -127,7 +129,9 @@
                         return Err(WireError::new(format!("router {number} has not come up")).into());
                     };
                     let count = wire::item_count(&line)?;
-                    let Some(mut event) = wire::event(&mut line, &instance.names)? else { continue };
+                    let Some(mut event) = wire::event(&mut line, &instance.names, &instance.reports)? else {
+                        continue;
+                    };
                     for _ in 0..count {
                         let Some(mut item) = input.next()? else {
                             return Err(WireError::new("input ended inside a list".into()).into());
--- a/crates/onyxpick-benchlink/src/trace.rs
+++ b/crates/onyxpick-benchlink/src/trace.rs
@@ -34,7 +34,7 @@
         writeln!(
             to,
             "second asked again sent served missed errors full late refused | held fetches limit misses latefail \
-             tokens usual_ms at_work least mean most ready"
+             tokens usual_ms at_work least mean most ready ease"
         )?;
         Ok(Trace { to, due: Micros(0), counts: Counts::default() })
     }
@@ -81,7 +81,7 @@
         writeln!(
             self.to,
             "{:6.1} {:5} {:5} {:5} {:5} {:5} {:5} {:4} {:4} {:5} | {:5.1} {:5.1} {:5.2} {:4.2} {:4.2} {:4.1} {:5.0} \
-             {:5.1} {:5.2} {:5.2} {:5.2} {:4.1}",
+             {:5.1} {:5.2} {:5.2} {:5.2} {:4.1} {:4.1}",
             now.as_secs_f64(),
             c.asked,
             c.again,
@@ -104,6 +104,7 @@
             mean(|v| v.limits.1),
             mean(|v| v.limits.2),
             mean(|v| v.ready as f64),
+            mean(|v| v.at_ease as f64),
         )?;
         self.to.flush()
     }
--- a/crates/onyxpick-benchlink/src/wire.rs
+++ b/crates/onyxpick-benchlink/src/wire.rs
@@ -145,7 +145,7 @@
 }
 
 /// Reads an event; `None` for one that this router has no use for.
-pub fn event(line: &mut Line<'_>, names: &Names) -> Result<Option<Event>, WireError> {
+pub fn event(line: &mut Line<'_>, names: &Names, reports: &Columns) -> Result<Option<Event>, WireError> {
     let event = match line.name() {
         "membership" => {
             let kind = match line.text("mode")? {
@@ -160,7 +160,7 @@
         }
         "arrival" => arrival(line, names)?,
         "headers" => Event::StreamStarted { id: line.request()?, attempt: attempt(line)? },
-        "outcome" => outcome(line)?,
+        "outcome" => outcome(line, reports)?,
         "lapsed" => Event::Gone { id: line.request()? },
         "due" => Event::Timer { token: line.integer("name")? },
         _ => return Ok(None),
@@ -186,7 +186,7 @@
     Ok(Event::Request(Request { id, class: ClassId(class), tenant, key, expires, cost_hint, retry, write }))
 }
 
-fn outcome(line: &mut Line<'_>) -> Result<Event, WireError> {
+fn outcome(line: &mut Line<'_>, reports: &Columns) -> Result<Event, WireError> {
     let id = line.request()?;
     let complete = line.flag("complete")?;
     line.text("server")?;
@@ -210,8 +210,8 @@
     };
     let elapsed = line.time("elapsed")?;
     let attempt = attempt(line)?;
-    line.text("load")?;
-    Ok(Event::Ended(AttemptEnd { complete, note, ..AttemptEnd::new(id, attempt, outcome, elapsed) }))
+    let load = reports.read_row(line.text("load")?);
+    Ok(Event::Ended(AttemptEnd { complete, note, load, ..AttemptEnd::new(id, attempt, outcome, elapsed) }))
 }
 
 /// Reads one `item` line into the membership event it belongs to.
--- /dev/null
+++ b/crates/onyxpick/benches/decision.rs
@@ -0,0 +1,89 @@
+//! What a decision takes at several sizes of fleet: a request with its attempt and its answer. `cargo bench -p onyxpick`.
+#![allow(missing_docs)] // A program.
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use onyxpick::*;
+use std::hint::black_box;
+
+/// Requests at work while one is measured, as on a busy router.
+const HELD: u32 = 32;
+/// Keys that are asked for in turn.
+const KEYS: u64 = 2_000;
+
+struct Fleet {
+    router: Router,
+    now: Micros,
+    next: u32,
+    open: Vec<RequestId>,
+    actions: Vec<Action>,
+}
+
+impl Fleet {
+    fn new(servers: usize) -> Fleet {
+        let aim = Micros::from_millis(300);
+        let class =
+            Class { aim, deadline: aim.scaled(4.0), worth: 1.0, late_worth: 0.0, effect: Effect::Safe };
+        let settings = Settings { routers: 4, classes: vec![class], ..Settings::default() };
+        let mut router = Router::new(settings, 7).expect("usable settings");
+        let members =
+            (0..servers).map(|i| Member::ready(format!("10.0.{}.{}:80", i / 250, i % 250).as_str().into()));
+        let (now, mut actions) = (Micros::from_millis(100_000), Vec::new());
+        let members = members.collect();
+        router.handle(now, Event::Membership { kind: MembershipKind::Full, members }, &mut actions);
+        actions.clear();
+        let mut fleet = Fleet { router, now, next: 0, open: Vec::new(), actions };
+        (0..HELD).for_each(|_| fleet.ask());
+        fleet
+    }
+
+    fn ask(&mut self) {
+        self.next = self.next.wrapping_add(1);
+        self.now = self.now.plus(Micros(1_000));
+        let id = RequestId(self.next);
+        let ask = Request {
+            id,
+            class: ClassId(0),
+            tenant: None,
+            key: Some(u64::from(self.next).wrapping_mul(0x9E37_79B9_7F4A_7C15) % KEYS),
+            expires: self.now.plus(Micros::from_millis(1_200)),
+            cost_hint: None,
+            retry: false,
+            write: false,
+        };
+        self.router.handle(self.now, Event::Request(ask), &mut self.actions);
+        if self.actions.iter().any(|action| matches!(action, Action::Send { .. })) {
+            self.open.push(id);
+        }
+        black_box(&self.actions);
+        self.actions.clear();
+    }
+
+    /// The oldest request that is out is served.
+    fn serve(&mut self) {
+        if self.open.is_empty() {
+            return;
+        }
+        let id = self.open.remove(0);
+        let end = AttemptEnd::new(id, AttemptNo(0), Outcome::Success, Micros::from_millis(u64::from(HELD)));
+        let end = AttemptEnd { complete: true, note: Some(CacheNote::Hit), ..end };
+        self.router.handle(self.now, Event::Ended(end), &mut self.actions);
+        self.actions.clear();
+    }
+}
+
+fn decision(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("a request and its answer");
+    for servers in [15, 100, 1_000] {
+        group.bench_with_input(BenchmarkId::from_parameter(servers), &servers, |bencher, &servers| {
+            let mut fleet = Fleet::new(servers);
+            bencher.iter(|| {
+                fleet.ask();
+                fleet.serve();
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decision);
+criterion_main!(benches);
--- a/crates/onyxpick/src/api.rs
+++ b/crates/onyxpick/src/api.rs
@@ -3,6 +3,7 @@
 //! Nothing here decides anything. An embedding router fills in [`Settings`], feeds [`Event`]s with the time at
 //! which they happened, and carries out the [`Action`]s it gets back.
 
+use crate::load::Load;
 use std::fmt;
 use std::sync::Arc;
 
@@ -267,8 +268,8 @@
     /// An end of which no more is known: the client still has no answer, no note came, nothing had begun to come back, and
     /// the connection is unknown.
     pub fn new(id: RequestId, attempt: AttemptNo, outcome: Outcome, elapsed: Micros) -> Self {
-        let (complete, note, begun, link) = (false, None, false, Link::Unknown);
-        AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link }
+        let (complete, note, begun, link, load) = (false, None, false, Link::Unknown, None);
+        AttemptEnd { id, attempt, outcome, complete, elapsed, note, begun, link, load }
     }
 }
 
@@ -458,6 +459,8 @@
     pub begun: bool,
     /// The connection that it went out on.
     pub link: Link,
+    /// What the server said of itself, where answers bring that.
+    pub load: Option<Load>,
 }
 
 /// What happens to the router.
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -55,6 +55,9 @@
 /// the fetch, and the keys that it drives out, cost more than the move saves. What comes too late to be worth
 /// anything uses no more of a limit either: it does not take the place of what is in time.
 const MOVE_ROOM: f64 = 0.3;
+/// A server whose limit is below this part of the mean is itself in trouble, and its keys may move even while
+/// the fleet as a whole is in use: then most that is full elsewhere is full because all is.
+const IN_TROUBLE: f64 = 0.6;
 /// What drops idle connections unseen (a firewall, a peer's own limit) waits this long at least: what fails
 /// sooner after its last use failed for another reason.
 const LEAST_IDLE: Micros = Micros::from_millis(1_000);
@@ -171,7 +174,9 @@
         router.known = vec![(0, usize::MAX); KNOWN_KEYS];
         router.mean_worth = mean_worth;
         router.usual = shortest_aim.scaled(SLOW_SHARE);
-        router.fetches = Origin::new(first, router.usual);
+        let of_use = |c: &Class| c.aim.plus(c.deadline.since(c.aim).scaled(c.late_worth));
+        let longest = router.settings.classes.iter().map(of_use).min().unwrap_or_default();
+        router.fetches = Origin::new(first, longest.scaled(SLOW_SHARE));
         router.shortest_aim = shortest_aim;
         Ok(router)
     }
@@ -449,7 +454,13 @@
         let most = caches().map(part).fold(0.0, f64::max);
         let free = |index: usize| !held.ask.write && self.knows(held.place, index);
         let trial_gap = self.shortest_aim.scaled(TRIAL_GAP);
+        // Moves cost least while the rest of the fleet has room. Where it is full as a whole they feed a jam,
+        // but for those off a server that is itself in trouble.
+        let used: f64 = caches().map(|s| f64::from(s.load.in_flight)).sum();
+        let limits: f64 = caches().map(|s| s.load.limit).sum();
+        let trouble = IN_TROUBLE * limits / (self.ready as f64).max(1.0);
         let (mut first, mut paid, mut passed) = (true, false, None);
+        let mut may_move = false;
         // A write needs the origin wherever it runs, so that going elsewhere costs nothing.
         let spill = held.ask.write || self.retry_tokens >= 1.0;
         // A key hotter than its server has further homes clockwise; each router keeps to one of them.
@@ -464,6 +475,7 @@
                 || (server.warmth(now, rules) < 1.0 && !self.has_budget(server, held.ask.cost_hint))
                 || (self.is_silent(server) && now.since(server.last_sent) < trial_gap)
             {
+                may_move |= first;
                 return false;
             }
             if first && passed_on >= size(server) && !held.ask.write {
@@ -474,10 +486,12 @@
             }
             // The first that is fit keeps the key; past it a fetch is paid for, unless known there.
             let near = std::mem::take(&mut first);
+            let (limit, here) = (server.load.limit, f64::from(server.load.in_flight));
+            may_move |= near && (limit < trouble || used - here < MOVE_ROOM * (limits - limit));
             paid = !near && !free(index) && !held.ask.write;
             let room = if paid { MOVE_ROOM } else { 1.0 };
             self.has_place(server, stretch * room * server.capacity(now, rules))
-                && (free(index) || if near { fetch } else { move_off && spill })
+                && (free(index) || if near { fetch } else { move_off && spill && may_move })
         });
         self.retry_tokens -= if found.is_some() && paid { 1.0 } else { 0.0 };
         // Of those further homes none may be fit: then an earlier one is better than none.
@@ -497,7 +511,9 @@
 
     /// Under one, a server's limit spaces requests out, so that many routers together do not crowd it.
     fn has_place(&self, server: &Server, stretch: f64) -> bool {
-        let limit = server.load.limit * stretch;
+        // One at a time, where the server says that it waits for work: a limit under one is of before.
+        let at_ease = server.queue.is_at_ease(self.now);
+        let limit = if at_ease { server.load.limit.max(1.0) } else { server.load.limit } * stretch;
         // The time in which this router sends one request to each server: less often, it sees no jam coming.
         let round = if server.load.limit < 1.0 { self.pace.scaled(self.ready as f64) } else { Micros(0) };
         let turn = server.usual.max(round);
@@ -677,6 +693,7 @@
             let (index, fetch, idle, familiar) = (tried.server, tried.fetch, tried.idle, tried.familiar);
             let end = self.with_note(end);
             self.servers[index].last_used = self.now;
+            end.load.iter().for_each(|&load| self.servers[index].queue.said(self.now, load));
             self.learn_connection(idle, &end);
             // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
             let slow = end.elapsed > aim.scaled(SLOW_SHARE) && end.link != Link::New;
@@ -777,7 +794,9 @@
             }
             _ if handshake && !quick => {}
             _ if hit || freed || (late && !hung) => {
-                server.load.learn(late || end.elapsed > half, least);
+                server.queue.took(if late { end.elapsed.scaled(2.0) } else { end.elapsed });
+                let slow = end.elapsed > half && server.queue.is_there(self.now, aim);
+                server.load.learn(late || slow, least);
                 let part = if little { 1 } else { 8 };
                 if !handshake {
                     server.usual = server.usual.toward(end.elapsed, part);
--- a/crates/onyxpick/src/lib.rs
+++ b/crates/onyxpick/src/lib.rs
@@ -44,11 +44,14 @@
 
 mod api;
 mod balance;
+mod load;
 mod origin;
 pub mod params;
+mod queue;
 mod state;
 mod view;
 
 pub use api::*;
+pub use load::{Columns, Load};
 pub use state::Router;
 pub use view::View;
--- a/crates/onyxpick/src/origin.rs
+++ b/crates/onyxpick/src/origin.rs
@@ -69,7 +69,8 @@
     time: Micros,
     /// What that is at an origin that is well: the least of it, rising slowly.
     base: Micros,
-    /// Half the shortest aim: at an origin that takes twice this for a fetch, none is of use.
+    /// Half the shortest time in which an answer is of use: at an origin that takes twice this for a fetch
+    /// none is, whatever it took at its best.
     useful: Micros,
     /// The share of fetches that fail, smoothed.
     failures: f64,
@@ -82,7 +83,7 @@
 }
 
 impl Origin {
-    /// An origin of which nothing is known; `useful` is the longest fetch of use.
+    /// An origin of which nothing is known; at one that takes twice `useful` for a fetch, none is of use.
     pub fn new(first: f64, useful: Micros) -> Origin {
         Origin {
             out: 0,
@@ -129,7 +130,7 @@
         lean(&mut self.failures, false, SPAN);
         self.last = self.last.max(sent);
         self.took(beyond);
-        self.learn(in_time);
+        self.learn(in_time, beyond);
     }
 
     /// One was given up after `took`; what has taken so long most likely takes as long again.
@@ -139,7 +140,7 @@
         if self.abandoned.len() < ABANDONED {
             self.abandoned.push(now.plus(took.min(LONGEST)));
         }
-        self.learn(in_time);
+        self.learn(in_time, Micros::MAX);
     }
 
     /// One was late, but as far as is known for its server's fault.
@@ -166,13 +167,15 @@
         self.time > self.base.scaled(QUEUE).min(self.useful.scaled(2.0))
     }
 
-    fn learn(&mut self, in_time: bool) {
+    fn learn(&mut self, in_time: bool, took: Micros) {
         lean(&mut self.late, !in_time, LATE_SPAN);
         let queue = self.has_queue();
         if queue && !in_time {
             self.cut();
         } else if self.limit < 1.0 {
-            self.limit *= REGROW;
+            // One that took about its least met no queue: routers of many cannot wait for several of them.
+            let met_none = took <= self.base.scaled(QUEUE);
+            self.limit = if met_none { 1.0 } else { self.limit * REGROW };
         } else if !queue && self.limit < self.goal * CUT {
             self.limit += CUT;
         } else if f64::from(self.out + 1) * 2.0 >= self.limit {
--- a/crates/onyxpick/src/params.rs
+++ b/crates/onyxpick/src/params.rs
@@ -4,9 +4,10 @@
 //! What a deployment may leave out, and what then holds: `peers_total` 1, `over_share_worth` 1, `customers` none, a
 //! class's `credit` 1 and `late_value` 0, `invariants.drain_close` none,
 //! `weight_kind` off, `limits.max_attempts` 1, what `limits` allows: no, `limits.max_retry_after` 0,
-//! `specifics.mode` through, `discovery` automatic, `limits.conn_idle` and `limits.dial_timeout` without end. All else that is read here must be there.
+//! `specifics.mode` through, `stats` none, `discovery` automatic, `limits.conn_idle` and `limits.dial_timeout` without end. All else that is read here must be there.
 
 use crate::api::*;
+use crate::load::Columns;
 use std::collections::HashMap;
 use std::fmt;
 
@@ -50,6 +51,8 @@
     pub names: Names,
     /// A connection that is not up after this long never will be.
     pub dial_timeout: Micros,
+    /// What the load reports in answers hold; empty where answers bring none.
+    pub reports: Columns,
 }
 
 struct Params<'a>(HashMap<&'a str, &'a str>);
@@ -140,7 +143,7 @@
     };
     let names = Names { classes: class_names, tenants: tenant_names, zones, kinds };
     let dial_timeout = params.optional_time("limits.dial_timeout")?.unwrap_or(Micros::MAX);
-    Ok(Deployment { settings, names, dial_timeout })
+    Ok(Deployment { settings, names, dial_timeout, reports: reports(&params) })
 }
 
 fn classes(params: &Params<'_>) -> Result<(Vec<Class>, Vec<String>), ParamsError> {
@@ -206,6 +209,13 @@
     }
 }
 
+/// Reports that come with probes alone are none: this router sends no probes.
+fn reports(params: &Params<'_>) -> Columns {
+    let meaning = |path: &str| params.0.get(path).copied().unwrap_or("");
+    let names = if meaning("stats.how") == "inline" { params.list("stats.columns") } else { Vec::new() };
+    Columns::new(&names, [meaning("specifics.report_x0"), meaning("specifics.report_x1")])
+}
+
 fn discovery(params: &Params<'_>) -> Result<Discovery, ParamsError> {
     match params.0.get("discovery").copied() {
         None | Some("automatic") => Ok(Discovery::Push),
--- a/crates/onyxpick/src/state.rs
+++ b/crates/onyxpick/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::api::*;
 use crate::origin::Origin;
+use crate::queue::Queue;
 use std::collections::HashMap;
 
 /// Work at one place and how much of it is wanted there.
@@ -95,6 +96,8 @@
     pub waiting_since: Option<Micros>,
     /// While it is cold: how much of a request its budget must cover before the next goes there.
     pub due: f64,
+    /// Whether requests wait there.
+    pub queue: Queue,
 }
 
 impl Server {
@@ -113,6 +116,7 @@
             unheard: 0,
             waiting_since: None,
             due: 1.0,
+            queue: Queue::default(),
         }
     }
 
--- a/crates/onyxpick/src/view.rs
+++ b/crates/onyxpick/src/view.rs
@@ -24,6 +24,8 @@
     pub limits: (f64, f64, f64),
     /// Ready servers.
     pub ready: usize,
+    /// How many of them say of themselves that they wait for work.
+    pub at_ease: usize,
 }
 
 impl Router {
@@ -43,6 +45,7 @@
             at_work: ready().map(|s| s.load.in_flight).sum(),
             limits: (least, sum / count.max(1) as f64, limits().fold(0.0, f64::max)),
             ready: count,
+            at_ease: ready().filter(|s| s.queue.is_at_ease(self.now)).count(),
         }
     }
 }
--- /dev/null
+++ b/crates/onyxpick/tests/reports.rs
@@ -0,0 +1,175 @@
+//! What servers say of themselves, and what a router makes of it and of the time that their answers take.
+
+mod common;
+
+use common::*;
+use onyxpick::*;
+
+fn columns() -> Columns {
+    let names = ["utilization", "backlog", "recent_ms", "x1"].map(String::from);
+    Columns::new(&names, ["", "fetches_out"])
+}
+
+fn at_ease() -> Option<Load> {
+    columns().read_row("0.4,0,80,1")
+}
+
+fn full() -> Option<Load> {
+    columns().read_row("1.0,12,80,1")
+}
+
+/// A hit that took so long, with this report.
+fn hit(rig: &mut Rig, id: RequestId, took: u64, load: Option<Load>) {
+    let note = Some(CacheNote::Hit);
+    rig.event(Event::Ended(AttemptEnd { note, load, ..ended(id, 0, Outcome::Success, took) }));
+}
+
+/// Forty hits in turn, each of so many milliseconds; the mean limit of the servers after each other.
+fn limits_after(rig: &mut Rig, took: impl Fn(u64) -> u64, load: Option<Load>) -> (f64, f64) {
+    let before = rig.router.view().limits.1;
+    for turn in 0..40 {
+        let (id, actions) = rig.ask(0, 7);
+        rig.now = rig.now.plus(ms(took(turn)));
+        if sent(&actions).is_some() {
+            hit(rig, id, took(turn), load);
+        }
+        rig.now = rig.now.plus(ms(1_000));
+    }
+    (before, rig.router.view().limits.1)
+}
+
+#[test]
+fn a_report_is_read_by_its_place_or_by_its_name() {
+    let row = columns().read_row("0.61,2,83.5,7").expect("a report");
+    assert_eq!(
+        (row.busy, row.queue, row.service, row.fetches),
+        (Some(0.61), Some(2.0), Some(Micros(83_500)), Some(7.0))
+    );
+    assert_eq!(columns().read_pairs("util=0.61,queue=2,latency_ms=83.5,x1=7"), Some(row));
+    assert_eq!(columns().read_pairs("x1=7, backlog=2 ,qps=9,utilization=0.61,recent_ms=83.5"), Some(row));
+}
+
+#[test]
+fn what_cannot_be_a_figure_is_left_out_and_the_rest_is_kept() {
+    for row in ["NaN,2,-,7", "inf,2,1e300,7", "-0.1,2,-5,7", "61,2,,7", "what?,2,0x5,7"] {
+        let load = columns().read_row(row).expect(row);
+        assert_eq!(
+            (load.busy, load.service, load.queue, load.fetches),
+            (None, None, Some(2.0), Some(7.0)),
+            "{row}"
+        );
+    }
+    for nothing in ["", "-", "NaN,NaN,NaN,NaN", ",,,", "util", "=,=,="] {
+        assert_eq!(columns().read_row(nothing), None, "{nothing}");
+        assert_eq!(columns().read_pairs(nothing), None, "{nothing}");
+    }
+    assert_eq!(Columns::default().read_pairs("util=0.5"), None, "a deployment without reports");
+}
+
+/// Guards servers that are slow by nature: at an aim of 300 ms, hits of 200 ms with nothing waiting are no queue.
+#[test]
+fn a_server_slow_by_nature_keeps_its_limit_with_reports_and_without() {
+    for load in [at_ease(), None] {
+        let mut rig = Rig::new(settings(), ready(1));
+        let (before, after) = limits_after(&mut rig, |_| 200, load);
+        assert!(after >= before, "{before} to {after} with {load:?}");
+    }
+}
+
+#[test]
+fn a_queue_that_is_reported_or_shows_in_the_times_cuts_the_limit() {
+    let mut rig = Rig::new(settings(), ready(1));
+    let (before, after) = limits_after(&mut rig, |_| 200, full());
+    assert!(after < before / 2.0, "{before} to {after} by its own word");
+    let mut rig = Rig::new(settings(), ready(1));
+    let (before, after) = limits_after(&mut rig, |turn| if turn < 8 { 60 } else { 200 }, None);
+    assert!(after < before / 2.0, "{before} to {after} by its times");
+}
+
+/// Guards against a frozen or lying report: a server whose answers take three times their least has a queue.
+#[test]
+fn a_server_that_slows_down_is_not_believed_that_it_has_no_queue() {
+    let mut rig = Rig::new(settings(), ready(1));
+    let (before, after) = limits_after(&mut rig, |turn| if turn < 8 { 50 } else { 250 }, at_ease());
+    assert!(after < before / 2.0, "{before} to {after}");
+    assert_eq!(rig.router.view().at_ease, 0);
+}
+
+/// Guards routers of many: a limit under one spaces requests out, but not at a server that waits for work. A word
+/// that is two seconds old counts no more.
+#[test]
+fn a_server_that_waits_for_work_gets_one_at_a_time_whatever_its_limit() {
+    let busy = |load| {
+        let mut rig = Rig::new(Settings { routers: 40, ..settings() }, ready(1));
+        for _ in 0..4 {
+            let (id, _) = rig.ask(0, 7);
+            rig.event(Event::Ended(AttemptEnd { load, ..ended(id, 0, Outcome::Overloaded, 2) }));
+            rig.now = rig.now.plus(ms(20_000));
+        }
+        let (id, _) = rig.ask(0, 7);
+        rig.event(Event::Ended(AttemptEnd { load, ..ended(id, 0, Outcome::Overloaded, 2) }));
+        rig
+    };
+    let goes = |rig: &mut Rig, after| {
+        rig.now = rig.now.plus(ms(after));
+        sent(&rig.ask(0, 7).1).is_some()
+    };
+    assert!(!goes(&mut busy(None), 100), "its limit is under one");
+    assert!(goes(&mut busy(at_ease()), 100));
+    assert!(!goes(&mut busy(full()), 100));
+    let mut stale = busy(at_ease());
+    stale.now = stale.now.plus(ms(2_000));
+    stale.list(MembershipKind::Changes, Vec::new());
+    assert_eq!(stale.router.view().at_ease, 0, "an old word");
+}
+
+/// Nine requests for keys of one server are more than it takes, while one of four others has none and three have some:
+/// who else gets one?
+fn elsewhere(used_elsewhere: usize, in_trouble: bool) -> Option<ServerId> {
+    let mut rig = Rig::new(settings(), ready(5));
+    let owner = |key| Rig::new(settings(), ready(5)).served_by(key).expect("a server");
+    let keys_of = |server: usize| (1_000..).filter(move |&key| owner(key) == name(server));
+    // All are known where they belong, so that none is a fetch.
+    let keys: Vec<Vec<u64>> = (1..=5).map(|server| keys_of(server).take(9).collect()).collect();
+    for &key in keys.iter().flatten() {
+        rig.served_by(key).expect("room");
+    }
+    if in_trouble {
+        for &key in &keys[0][..4] {
+            let (id, _) = rig.ask(0, key);
+            rig.end(id, 0, Outcome::Overloaded, 2);
+            rig.end(id, 1, Outcome::Success, 5);
+        }
+    }
+    for server in 2..=4 {
+        keys[server - 1][..used_elsewhere].iter().for_each(|&key| _ = rig.ask(0, key));
+    }
+    let taken: Vec<ServerId> = keys[0].iter().filter_map(|&key| sent(&rig.ask(0, key).1)).collect();
+    taken.into_iter().find(|server| *server != name(1))
+}
+
+/// Guards against the jam that feeds itself: where the whole fleet is in use, each key that moves is a fetch and
+/// drives out another.
+#[test]
+fn a_key_moves_off_a_full_server_while_the_fleet_has_room_and_else_only_off_one_in_trouble() {
+    assert!(elsewhere(0, false).is_some(), "with room it moves");
+    assert_eq!(elsewhere(2, false), None, "in use as a whole it does not");
+    assert_eq!(elsewhere(2, true), Some(name(5)), "off one in trouble it does");
+}
+
+/// Guards an origin that takes longer than an aim at its best: late answers are of use up to the deadline by their
+/// worth, and nothing waits there.
+#[test]
+fn an_origin_slower_than_the_aim_by_nature_is_no_jam() {
+    let mut rig = Rig::new(settings_with_late_worth(0.5), ready(10));
+    let before = rig.router.view().fetches.1;
+    for key in 0..200 {
+        let (id, actions) = rig.ask(0, key);
+        assert!(sent(&actions).is_some(), "request {key} of 200");
+        rig.now = rig.now.plus(ms(400));
+        let end = ended(id, 0, Outcome::Success, 400);
+        rig.event(Event::Ended(AttemptEnd { note: Some(CacheNote::Miss), ..end }));
+    }
+    let after = rig.router.view().fetches.1;
+    assert!(after >= before, "{before} to {after}");
+}
