One pass over the fleet a decision, in place of four

Change: the mean weight is kept at each list, and one pass finds the largest part, what is in use and the limits.

--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -207,6 +207,9 @@
             self.servers.iter_mut().for_each(|s| s.member.state = ServerState::Gone);
         }
         members.into_iter().for_each(|member| self.on_member(member));
+        let weights = self.servers.iter().filter(|s| s.is_ready() && !s.is_origin).map(|s| s.member.weight);
+        let (count, sum) = weights.fold((0_u32, 0.0), |(count, sum), weight| (count + 1, sum + weight));
+        self.mean_weight = sum / f64::from(count.max(1));
         if self.servers.iter().any(|s| s.is_ready() != s.listed) {
             let (first_list, routers) = (self.ring.is_empty(), f64::from(self.settings.routers));
             self.update_ring();
@@ -444,20 +447,23 @@
         let fetch = aside || self.may_fetch(held.familiar, stretch);
         let room = if self.fetches.has_queue() { MOVE_ROOM } else { 1.0 };
         let move_off = aside || (fetch && self.may_fetch(held.familiar, stretch * room));
-        let caches = || self.servers.iter().filter(|s| s.is_ready() && !s.is_origin);
         let (now, rules) = (self.now, &self.settings.rules);
         let weights = self.settings.weights;
-        let mean = caches().map(|s| s.member.weight).sum::<f64>() / (self.ready as f64).max(1.0);
+        let mean = self.mean_weight;
         let size =
             |s: &Server| if weights != Weights::Unknown && mean > 0.0 { s.member.weight / mean } else { 1.0 };
         let part = |s: &Server| s.warmth(now, rules) * size(s).min(1.0);
-        let most = caches().map(part).fold(0.0, f64::max);
+        // One pass over the fleet: the largest part, what is in use, and all limits together.
+        let (mut most, mut used, mut limits) = (0.0_f64, 0.0, 0.0);
+        for server in self.servers.iter().filter(|s| s.is_ready() && !s.is_origin) {
+            most = most.max(part(server));
+            used += f64::from(server.load.in_flight);
+            limits += server.load.limit;
+        }
         let free = |index: usize| !held.ask.write && self.knows(held.place, index);
         let trial_gap = self.shortest_aim.scaled(TRIAL_GAP);
         // Moves cost least while the rest of the fleet has room. Where it is full as a whole they feed a jam,
         // but for those off a server that is itself in trouble.
-        let used: f64 = caches().map(|s| f64::from(s.load.in_flight)).sum();
-        let limits: f64 = caches().map(|s| s.load.limit).sum();
         let trouble = IN_TROUBLE * limits / (self.ready as f64).max(1.0);
         let (mut first, mut paid, mut passed) = (true, false, None);
         let mut may_move = false;
--- a/crates/onyxpick/src/state.rs
+++ b/crates/onyxpick/src/state.rs
@@ -156,6 +156,8 @@
     /// Which of a hot key's homes is this router's, in [0, 1).
     pub(crate) corner: f64,
     pub(crate) mean_worth: f64,
+    /// Of the ready servers' weights.
+    pub(crate) mean_weight: f64,
     /// Each tenant's part of the requests lately.
     pub(crate) mix: Vec<f64>,
     /// How long hits take anywhere, smoothed.
@@ -194,6 +196,7 @@
             idle: gauge,
             known: Vec::new(),
             mean_worth: 0.0,
+            mean_weight: 0.0,
             mix: settings.tenants.iter().map(|t| t.share).collect(),
             usual: Micros(0),
             stale: Micros::MAX,
