Keys move while the others use under half of their limits; answers past the aim are slow

What is left: a report is believed for up to 1.6 s after a server has become slow. A test took it that a router hears of a client's end before it answers the next one; it failed once in four whole runs and waits for the router's end of the connection now.

--- a/crates/asterport-testkit/src/lib.rs
+++ b/crates/asterport-testkit/src/lib.rs
@@ -589,6 +589,12 @@
         self.answer().expect("an answer")
     }
 
+    /// Ends its sending with an answer owed, and waits until the router has ended the connection: it knows by then.
+    pub fn leave(mut self) {
+        self.stream.shutdown(std::net::Shutdown::Write).expect("an end");
+        assert!(self.rest().is_empty(), "nothing more comes");
+    }
+
     /// All that comes until the end of the connection.
     pub fn rest(&mut self) -> Vec<u8> {
         let mut rest = Vec::new();
--- a/crates/asterport/tests/router_clients.rs
+++ b/crates/asterport/tests/router_clients.rs
@@ -31,11 +31,8 @@
     let mut leaving = router.client();
     leaving.write(&command(&["C.GET", key, "left", "c=read,t=acme,d=15000"]));
     wait_until("it is at the server", || owner.commands().len() > before);
-    drop(leaving);
-    // The router sees the end of this connection no later than that of the next one's first answer.
+    leaving.leave();
     let mut client = router.client();
-    client.write(&command(&["PING"]));
-    assert_eq!(client.answer().unwrap(), "+PONG\r\n");
     owner.usually(Does::SaysAndEnds(Vec::new()));
     owner.end_connections();
     // Another client's request, whose attempt breaks after that of the one that left, goes on to the other server.
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -55,6 +55,8 @@
 /// the fetch, and the keys that it drives out, cost more than the move saves. What comes too late to be worth
 /// anything uses no more of a limit either: it does not take the place of what is in time.
 const MOVE_ROOM: f64 = 0.3;
+/// Keys move while the other servers use less than this part of their limits together.
+const FLEET_ROOM: f64 = 0.5;
 /// A server whose limit is below this part of the mean is itself in trouble, and its keys may move even while
 /// the fleet as a whole is in use: then most that is full elsewhere is full because all is.
 const IN_TROUBLE: f64 = 0.6;
@@ -493,7 +495,7 @@
             // The first that is fit keeps the key; past it a fetch is paid for, unless known there.
             let near = std::mem::take(&mut first);
             let (limit, here) = (server.load.limit, f64::from(server.load.in_flight));
-            may_move |= near && (limit < trouble || used - here < MOVE_ROOM * (limits - limit));
+            may_move |= near && (limit < trouble || used - here < FLEET_ROOM * (limits - limit));
             paid = !near && !free(index) && !held.ask.write;
             let room = if paid { MOVE_ROOM } else { 1.0 };
             self.has_place(server, stretch * room * server.capacity(now, rules))
@@ -801,7 +803,9 @@
             _ if handshake && !quick => {}
             _ if hit || freed || (late && !hung) => {
                 server.queue.took(if late { end.elapsed.scaled(2.0) } else { end.elapsed });
-                let slow = end.elapsed > half && server.queue.is_there(self.now, aim);
+                // What comes after the aim counts whatever is said: a server may be slow for itself.
+                let waits = end.elapsed > aim || server.queue.is_there(self.now, aim);
+                let slow = end.elapsed > half && waits;
                 server.load.learn(late || slow, least);
                 let part = if little { 1 } else { 8 };
                 if !handshake {
--- a/crates/onyxpick/tests/reports.rs
+++ b/crates/onyxpick/tests/reports.rs
@@ -153,8 +153,8 @@
 #[test]
 fn a_key_moves_off_a_full_server_while_the_fleet_has_room_and_else_only_off_one_in_trouble() {
     assert!(elsewhere(0, false).is_some(), "with room it moves");
-    assert_eq!(elsewhere(2, false), None, "in use as a whole it does not");
-    assert_eq!(elsewhere(2, true), Some(name(5)), "off one in trouble it does");
+    assert_eq!(elsewhere(3, false), None, "in use as a whole it does not");
+    assert_eq!(elsewhere(3, true), Some(name(5)), "off one in trouble it does");
 }
 
 /// Guards an origin that takes longer than an aim at its best: late answers are of use up to the deadline by their
