Connections rest for their price and fewer where places are short; a line a second to sum

At fault: learn_load, which took any Overloaded for too much work, and the fixed 0.8 of the idle time in servers.rs.

Change: links.rs decides how long a connection may rest, from its price against a handshake's and this router's pace, and shorter while new connections are turned away more than kept ones; BUSY on a new connection then says nothing of the server's work.

--- a/crates/asterport-engine/src/discovery.rs
+++ b/crates/asterport-engine/src/discovery.rs
@@ -257,6 +257,7 @@
     async fn watch(&self, told: &Cell<bool>) -> Result<std::convert::Infallible, WatchError> {
         let late = |Elapsed| WatchError::Silent;
         let addr = self.addr.get();
+        self.servers.tally().called();
         let dial = self.world.timeout(CONNECT_LIMIT, self.world.connect(addr));
         let stream = dial.await.map_err(late)?.map_err(WatchError::Io)?;
         let answered_by = self.world.now() + ANSWER_LIMIT;
--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -321,6 +321,11 @@
         self.state.borrow_mut().router.recall(self.clock.now(), learnt);
     }
 
+    /// What the module believes now.
+    pub fn view(&self) -> View {
+        self.state.borrow().router.view()
+    }
+
     /// Listed servers that are avoided now.
     pub fn avoided(&self) -> usize {
         self.state.borrow().router.avoided()
@@ -371,6 +376,7 @@
             }
         }
         state.handling = false;
+        self.servers.hold(duration(state.router.hold()));
         let is_told = !state.news.is_empty();
         drop(state);
         if is_told {
@@ -478,6 +484,7 @@
         if planted::has(Bug::RepeatsUnsafe) && outcome == Outcome::Broken {
             outcome = Outcome::Unreachable;
         }
+        self.servers.tally().attempt_ended(outcome, link, note);
         self.handle(Event::Ended(AttemptEnd {
             id,
             attempt,
--- a/crates/asterport-engine/src/engine.rs
+++ b/crates/asterport-engine/src/engine.rs
@@ -8,11 +8,11 @@
 use crate::planted::{self, Bug};
 use crate::seam::World;
 use crate::servers::{self, Servers};
-use crate::tally::{Ends, Tally};
+use crate::tally::{Attempts, Ends, Tally};
 use asterport_joining::{Counters, Rules};
 use asterport_life::{Event as LifeEvent, Life};
 use onyxpick::params::Deployment;
-use onyxpick::{Discovery as Listing, Effect, Group, Learnt, Micros, Router, ServerId, Standing, Word};
+use onyxpick::{Discovery as Listing, Effect, Group, Learnt, Micros, Router, ServerId, Standing, View, Word};
 use std::cell::Cell;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -251,6 +251,11 @@
         Figures { ends, tries, in_progress, listed, avoided }
     }
 
+    /// What attempts came to since the start, and what the decision module believes now.
+    pub fn attempts(&self) -> (Attempts, View) {
+        (self.servers.tally().attempts(), self.driver.view())
+    }
+
     /// Leaves half of the places for connections to cache servers to another process of this router, or takes them
     /// back.
     pub fn share_places(&self, shared: bool) {
--- a/crates/asterport-engine/src/lib.rs
+++ b/crates/asterport-engine/src/lib.rs
@@ -21,4 +21,4 @@
 pub use clients::Resting;
 pub use discovery::List;
 pub use engine::{Engine, Figures, Holdings, Start};
-pub use tally::Ends;
+pub use tally::{Attempts, Ends, OUTCOMES};
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -152,6 +152,8 @@
     ceded: Cell<usize>,
     tally: Rc<Tally>,
     /// Empty but for a planted bug.
+    /// How long a connection may rest, as the decision library has it; one that is there still may be used.
+    hold: Cell<Duration>,
     leaked: RefCell<Vec<Connection<W>>>,
 }
 
@@ -183,10 +185,21 @@
             room,
             ceded: Cell::new(0),
             tally,
+            hold: Cell::new(limits.conn_idle),
             leaked: RefCell::default(),
         })
     }
 
+    /// How long connections may rest from now on.
+    pub fn hold(&self, rest: Duration) {
+        self.hold.set(rest);
+    }
+
+    /// What attempts came to.
+    pub fn tally(&self) -> &Tally {
+        &self.tally
+    }
+
     /// Idle connections.
     pub fn idle(&self) -> usize {
         self.pools.borrow().values().map(|pool| pool.idle.len()).sum()
@@ -245,7 +258,11 @@
         loop {
             self.world.sleep(Duration::from_millis(500)).await;
             for pool in self.pools.borrow_mut().values_mut() {
-                pool.idle.retain(|(connection, since)| self.is_fresh(*since) && connection.stream.is_quiet());
+                pool.idle.retain(|(connection, since)| {
+                    self.is_fresh(*since)
+                        && self.age(*since) < self.hold.get()
+                        && connection.stream.is_quiet()
+                });
             }
         }
     }
@@ -497,10 +514,14 @@
             let until = whole.until();
             tokio::select! {
                 biased;
-                connection = &mut dial => return connection.map_err(|_| Outcome::Unreachable),
+                connection = &mut dial => {
+                    self.tally.opened(connection.is_ok());
+                    return connection.map_err(|_| Outcome::Unreachable);
+                }
                 () = self.world.sleep_until(limit.min(until)) => {}
             }
             if limit <= until {
+                self.tally.opened(false);
                 return Err(Outcome::Unreachable);
             }
             if whole.until() == until {
--- a/crates/asterport-engine/src/tally.rs
+++ b/crates/asterport-engine/src/tally.rs
@@ -1,6 +1,7 @@
 //! What requests came to, counted where a client gets its answer and where an attempt is written whole, so that a figure
 //! cannot differ from what the peers saw.
 
+use onyxpick::{CacheNote, Link, Outcome};
 use std::cell::{Cell, RefCell};
 
 /// How a request ended for its client.
@@ -31,6 +32,47 @@
     ends: RefCell<Vec<Ends>>,
     tries: Cell<u64>,
     in_progress: Cell<usize>,
+    /// Connections opened to cache servers, and those that could not be.
+    opened: Cell<u64>,
+    unopened: Cell<u64>,
+    /// Calls for the list.
+    calls: Cell<u64>,
+    /// Attempts that ended, by [`Outcome`].
+    outcomes: RefCell<[u64; OUTCOMES.len()]>,
+    /// Of those turned away, the ones on a new connection.
+    full_new: Cell<u64>,
+    /// Answers that cost a fetch.
+    misses: Cell<u64>,
+}
+
+/// Outcomes of attempts under the names that operators read.
+pub const OUTCOMES: [(Outcome, &str); 9] = [
+    (Outcome::Success, "served"),
+    (Outcome::Failure, "failed"),
+    (Outcome::Overloaded, "full"),
+    (Outcome::TimedOut, "timed_out"),
+    (Outcome::Unreachable, "unreachable"),
+    (Outcome::Broken, "broken"),
+    (Outcome::Cancelled, "cancelled"),
+    (Outcome::Void, "void"),
+    (Outcome::Miss, "absent"),
+];
+
+/// What the attempts of one process came to since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Attempts {
+    /// Connections opened to cache servers, and those that could not be.
+    pub opened: u64,
+    /// See above.
+    pub unopened: u64,
+    /// Calls for the list.
+    pub calls: u64,
+    /// By outcome, in the order of [`OUTCOMES`].
+    pub outcomes: [u64; OUTCOMES.len()],
+    /// Of those turned away, the ones on a new connection: the server may hold as many as it can.
+    pub full_new: u64,
+    /// Answers that cost a fetch.
+    pub misses: u64,
 }
 
 impl Tally {
@@ -62,6 +104,42 @@
         self.tries.set(self.tries.get() + 1);
     }
 
+    /// A connection to a cache server was opened, or could not be.
+    pub fn opened(&self, is_open: bool) {
+        let count = if is_open { &self.opened } else { &self.unopened };
+        count.set(count.get() + 1);
+    }
+
+    /// Discovery was called.
+    pub fn called(&self) {
+        self.calls.set(self.calls.get() + 1);
+    }
+
+    /// An attempt ended.
+    pub fn attempt_ended(&self, outcome: Outcome, link: Link, note: Option<CacheNote>) {
+        if outcome == Outcome::Overloaded && link == Link::New {
+            self.full_new.set(self.full_new.get() + 1);
+        }
+        if let Some(place) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
+            self.outcomes.borrow_mut()[place] += 1;
+        }
+        if matches!(note, Some(CacheNote::Miss | CacheNote::MissPending)) {
+            self.misses.set(self.misses.get() + 1);
+        }
+    }
+
+    /// What the attempts came to.
+    pub fn attempts(&self) -> Attempts {
+        Attempts {
+            opened: self.opened.get(),
+            unopened: self.unopened.get(),
+            calls: self.calls.get(),
+            outcomes: *self.outcomes.borrow(),
+            full_new: self.full_new.get(),
+            misses: self.misses.get(),
+        }
+    }
+
     /// By class, attempts, and requests taken and not ended.
     pub fn read(&self) -> (Vec<Ends>, u64, usize) {
         (self.ends.borrow().clone(), self.tries.get(), self.in_progress.get())
--- a/crates/asterport-sim/src/play.rs
+++ b/crates/asterport-sim/src/play.rs
@@ -177,6 +177,7 @@
             max_retry_after: Micros(SECOND),
         },
         connection_idle: Micros(plan.conn_idle),
+        prices: Default::default(),
         origin_falls: false,
         ..Settings::default()
     };
--- a/crates/asterport-sim/src/scene.rs
+++ b/crates/asterport-sim/src/scene.rs
@@ -482,6 +482,7 @@
             max_retry_after: Micros(SECOND),
         },
         connection_idle: Micros(15 * SECOND),
+        prices: Default::default(),
         origin_falls: false,
         tenants: vec![Tenant { quota_per_s: 30.0, share: 0.5 }; 2],
         ..Settings::default()
--- a/crates/asterport/src/main.rs
+++ b/crates/asterport/src/main.rs
@@ -5,6 +5,7 @@
 mod desk;
 mod operator;
 mod succession;
+mod summary;
 
 use asterport_engine::service::{self, Service};
 use asterport_engine::{Engine, List, Start};
@@ -255,6 +256,9 @@
             say_joined(&telling);
         }
     });
+    if operator.summary.every_second {
+        spawn_local(summary::write(engine.clone()));
+    }
     let stopped = async {
         stop.recv().await;
     };
--- a/crates/asterport/src/operator.rs
+++ b/crates/asterport/src/operator.rs
@@ -1,5 +1,6 @@
 //! The operator file: what is this project's own and not the platform's. Without one all of it is off.
 
+use crate::summary::SummaryFile;
 use asterport_joining::JoiningFile;
 use serde::Deserialize;
 use std::fs::File;
@@ -16,6 +17,8 @@
 pub struct OperatorFile {
     /// Which reads are joined.
     pub joining: JoiningFile,
+    /// Whether a line a second tells what this router does.
+    pub summary: SummaryFile,
 }
 
 impl OperatorFile {
--- a/crates/asterport/tests/router_servers.rs
+++ b/crates/asterport/tests/router_servers.rs
@@ -162,6 +162,19 @@
     assert_eq!(server.connections().0, 2);
 }
 
+/// Guards against tables full of connections at rest: one that costs more than opening it anew is closed.
+#[test]
+fn a_connection_at_rest_is_closed_once_that_costs_more_than_a_new_one() {
+    let server = Server::start("s-a");
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    config["settings"]["deductions"] = serde_json::json!({"connection": 0.08, "handshake": 0.001});
+    let router = Router::start(&config);
+    let mut client = router.client();
+    assert!(client.ask("read", "00000000000000aa").contains("s-a"));
+    wait_until("the router closes it", || server.connections() == (1, 1));
+}
+
 #[test]
 fn a_connection_that_ended_while_idle_is_not_written_to() {
     let server = Server::start("s-a");
--- a/crates/onyxpick/src/api.rs
+++ b/crates/onyxpick/src/api.rs
@@ -250,10 +250,21 @@
     pub limits: Limits,
     /// Idle connections are closed after this long.
     pub connection_idle: Micros,
+    /// What connections cost.
+    pub prices: Prices,
     /// An origin that is sent too much for too long stops for some seconds.
     pub origin_falls: bool,
 }
 
+/// What connections cost a deployment, as shares of the worth of all requests.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Prices {
+    /// A hundred open connections to each server, all the time; 0 where they cost nothing.
+    pub connection: f64,
+    /// A new connection for each request.
+    pub handshake: f64,
+}
+
 /// A setting that cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct SettingsError {
@@ -613,6 +624,7 @@
                 max_retry_after: Micros::from_millis(1_000),
             },
             connection_idle: Micros::from_millis(15_000),
+            prices: Prices::default(),
             origin_falls: true,
         }
     }
--- a/crates/onyxpick/src/balance.rs
+++ b/crates/onyxpick/src/balance.rs
@@ -362,12 +362,17 @@
             earlier: None,
         };
         let mut seen = std::mem::take(&mut self.verdicts);
+        let mut reason = Verdict::Tried;
         let found = self.first_candidate(held.place, |index| {
             let verdict = self.verdict(held, index, &mut walk);
             seen[verdict as usize] += 1;
+            // The first that was fit but for room or a fetch, else what the last was left out for.
+            let fit = matches!(reason, Verdict::Full | Verdict::NoFetch);
+            reason = if fit { reason } else { verdict };
             verdict.is_taken().then_some((index, verdict == Verdict::MovedPaid))
         });
         self.verdicts = seen;
+        self.unplaced[reason as usize] += u64::from(found.is_none() && walk.earlier.is_none());
         self.retry_tokens -= if found.is_some_and(|(_, paid)| paid) { 1.0 } else { 0.0 };
         // Of a hot key's further homes none may be fit: then an earlier one is better than none.
         found.map(|(index, _)| index).or(walk.earlier)
@@ -673,6 +678,7 @@
             self.servers[index].last_used = self.now;
             end.load.iter().for_each(|&load| self.servers[index].queue.said(self.now, load));
             self.kept.learn(self.now, idle, &end);
+            self.links.learn(&end);
             // Where an answer was lost or late, the key is likelier to be hot than its share here tells.
             let slow = end.elapsed > aim.scaled(SLOW_SHARE) && end.link != Link::New;
             self.popular.entry(held.place).and_modify(|count| *count += f64::from(u8::from(slow)));
@@ -766,6 +772,8 @@
         let freed = quick && server.load.limit < server.load.first;
         match end.outcome {
             Outcome::Cancelled | Outcome::Void => return,
+            // Places for connections are short: that says nothing of the work that the server has.
+            Outcome::Overloaded if end.link == Link::New && self.links.are_scarce() => {}
             // An origin's queue must not outlast the tightest aim among those that wait in it.
             _ if server.is_origin => {
                 let late = end.elapsed > self.shortest_aim || !served;
--- a/crates/onyxpick/src/belief.rs
+++ b/crates/onyxpick/src/belief.rs
@@ -63,9 +63,10 @@
         self.first * (self.limit / self.first).powf(self.left(now))
     }
 
-    /// Whether the belief is this router's own knowledge, not a hunch; what is at work there counts too.
+    /// Whether the belief is this router's own knowledge, not a hunch; what is at work there counts too, and
+    /// so does the server's own word.
     pub fn is_well_seen(&self, now: Micros) -> bool {
-        self.weight * self.left(now) + f64::from(self.in_flight) >= WELL_SEEN
+        self.told || self.weight * self.left(now) + f64::from(self.in_flight) >= WELL_SEEN
     }
 
     /// The limit is what another process of this router knew, as if it had been seen just now.
--- a/crates/onyxpick/src/lib.rs
+++ b/crates/onyxpick/src/lib.rs
@@ -49,6 +49,7 @@
 mod kept;
 mod learnt;
 mod life;
+mod links;
 mod load;
 mod origin;
 pub mod params;
--- a/crates/onyxpick/src/params.rs
+++ b/crates/onyxpick/src/params.rs
@@ -4,7 +4,8 @@
 //! What a deployment may leave out, and what then holds: `peers_total` 1, `over_share_worth` 1, `customers` none, a
 //! class's `credit` 1 and `late_value` 0, `invariants.drain_close` none,
 //! `weight_kind` off, `limits.max_attempts` 1, what `limits` allows: no, `limits.max_retry_after` 0,
-//! `specifics.mode` through, `stats` none, `discovery` automatic, `limits.conn_idle` and `limits.dial_timeout` without end. All else that is read here must be there.
+//! `specifics.mode` through, `stats` none, `discovery` automatic, `limits.conn_idle` and `limits.dial_timeout` without end,
+//! `deductions.connection` and `deductions.handshake` 0. All else that is read here must be there.
 
 use crate::api::*;
 use crate::load::Columns;
@@ -139,6 +140,10 @@
             max_retry_after: Micros::from_secs_f64(params.number_or("limits.max_retry_after", 0.0)?),
         },
         connection_idle: params.optional_time("limits.conn_idle")?.unwrap_or(Micros::MAX),
+        prices: Prices {
+            connection: params.number_or("deductions.connection", 0.0)?,
+            handshake: params.number_or("deductions.handshake", 0.0)?,
+        },
         origin_falls: params.number_or("specifics.origin_fall_multiple", 1.0)? > 0.0,
     };
     let names = Names { classes: class_names, tenants: tenant_names, zones, kinds };
--- a/crates/onyxpick/src/state.rs
+++ b/crates/onyxpick/src/state.rs
@@ -5,6 +5,7 @@
 use crate::belief::Gauge;
 use crate::kept::Kept;
 use crate::life::Words;
+use crate::links::{Demand, Links};
 use crate::origin::Origin;
 use crate::queue::Queue;
 use crate::turned_away::TurnedAway;
@@ -218,6 +219,8 @@
     pub(crate) idle: Gauge,
     /// Verdicts so far, by kind.
     pub(crate) verdicts: [u64; Verdict::ALL.len()],
+    /// Requests that found no server, by the verdict that stood in their way.
+    pub(crate) unplaced: [u64; Verdict::ALL.len()],
     /// Each class's part of the requests lately.
     pub(crate) asked: Vec<f64>,
     /// By place: the place and the server that last served it, to tell likely hits from likely misses.
@@ -236,6 +239,8 @@
     pub(crate) usual: Micros,
     /// Which kept connections are too old to use.
     pub(crate) kept: Kept,
+    /// How connections fare, and how long they are kept.
+    pub(crate) links: Links,
     /// The time between this router's requests, smoothed, and when the last one came.
     pub(crate) pace: Micros,
     pub(crate) last_came: Micros,
@@ -265,6 +270,7 @@
             late_failures: 0.0,
             idle: gauge,
             verdicts: [0; Verdict::ALL.len()],
+            unplaced: [0; Verdict::ALL.len()],
             asked: vec![1.0 / settings.classes.len().max(1) as f64; settings.classes.len()],
             known: Vec::new(),
             mean_worth: 0.0,
@@ -272,6 +278,7 @@
             mix: settings.tenants.iter().map(|t| t.share).collect(),
             usual: Micros(0),
             kept: Kept::new(),
+            links: Links::new(),
             pace: Micros(0),
             last_came: Micros(0),
             shortest_aim: Micros(0),
@@ -280,6 +287,12 @@
         }
     }
 
+    /// How long a connection to a server may rest before it is closed.
+    pub fn hold(&self) -> Micros {
+        let (routers, servers) = (f64::from(self.settings.routers), self.ready as f64);
+        self.links.hold(self.settings.prices, &Demand { routers, servers, pace: self.pace })
+    }
+
     /// How many requests and how many servers the router remembers, for an embedding program's metrics.
     pub fn remembered(&self) -> (usize, usize) {
         (self.held.len(), self.servers.len())
--- a/crates/onyxpick/src/view.rs
+++ b/crates/onyxpick/src/view.rs
@@ -28,6 +28,8 @@
     pub at_ease: usize,
     /// Candidates by what they were to requests, since the start; in the order of [`Verdict::ALL`].
     pub verdicts: [u64; Verdict::ALL.len()],
+    /// Times that no server was found for a request, by what stood in its way.
+    pub unplaced: [u64; Verdict::ALL.len()],
 }
 
 impl Router {
@@ -49,6 +51,7 @@
             ready: count,
             at_ease: ready().filter(|s| s.queue.is_at_ease(self.now)).count(),
             verdicts: self.verdicts,
+            unplaced: self.unplaced,
         }
     }
 }
