The time that connections may rest is asked for when it is used; one record of attempts

Read once more: the driver worked it out after every event for a reader that looks twice a second, and kept it in a cell that could be derived; the one who retires connections now asks the module. The counts of attempts stood twice, as cells and as the record that is read; they are one record. The summary asks the engine once a line.

--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -321,6 +321,11 @@
         self.state.borrow_mut().router.recall(self.clock.now(), learnt);
     }
 
+    /// How long a connection to a server may rest.
+    pub fn hold(&self) -> Duration {
+        duration(self.state.borrow().router.hold())
+    }
+
     /// What the module believes now.
     pub fn view(&self) -> View {
         self.state.borrow().router.view()
@@ -376,7 +381,6 @@
             }
         }
         state.handling = false;
-        self.servers.hold(duration(state.router.hold()));
         let is_told = !state.news.is_empty();
         drop(state);
         if is_told {
--- a/crates/asterport-engine/src/engine.rs
+++ b/crates/asterport-engine/src/engine.rs
@@ -318,7 +318,8 @@
         world.spawn(self.discovery.clone().run());
         world.spawn(self.driver.clone().run_timers());
         world.spawn(self.joiner.clone().run());
-        world.spawn(self.servers.clone().retire_idle());
+        let driver = self.driver.clone();
+        world.spawn(self.servers.clone().retire_idle(move || driver.hold()));
         world.spawn(self.clients.clone().close_resting());
         tokio::select! {
             biased;
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -152,8 +152,6 @@
     ceded: Cell<usize>,
     tally: Rc<Tally>,
     /// Empty but for a planted bug.
-    /// How long a connection may rest, as the decision library has it; one that is there still may be used.
-    hold: Cell<Duration>,
     leaked: RefCell<Vec<Connection<W>>>,
 }
 
@@ -185,16 +183,10 @@
             room,
             ceded: Cell::new(0),
             tally,
-            hold: Cell::new(limits.conn_idle),
             leaked: RefCell::default(),
         })
     }
 
-    /// How long connections may rest from now on.
-    pub fn hold(&self, rest: Duration) {
-        self.hold.set(rest);
-    }
-
     /// What attempts came to.
     pub fn tally(&self) -> &Tally {
         &self.tally
@@ -253,15 +245,15 @@
         }
     }
 
-    /// Closes what has been idle for long, for as long as the program runs.
-    pub async fn retire_idle(self: Rc<Self>) {
+    /// Closes what has been idle for long, or has rested for as long as the decision library has it (`hold`), for as long
+    /// as the program runs. What is there still may be used.
+    pub async fn retire_idle(self: Rc<Self>, hold: impl Fn() -> Duration) {
         loop {
             self.world.sleep(Duration::from_millis(500)).await;
+            let hold = hold();
             for pool in self.pools.borrow_mut().values_mut() {
                 pool.idle.retain(|(connection, since)| {
-                    self.is_fresh(*since)
-                        && self.age(*since) < self.hold.get()
-                        && connection.stream.is_quiet()
+                    self.is_fresh(*since) && self.age(*since) < hold && connection.stream.is_quiet()
                 });
             }
         }
--- a/crates/asterport-engine/src/tally.rs
+++ b/crates/asterport-engine/src/tally.rs
@@ -32,17 +32,7 @@
     ends: RefCell<Vec<Ends>>,
     tries: Cell<u64>,
     in_progress: Cell<usize>,
-    /// Connections opened to cache servers, and those that could not be.
-    opened: Cell<u64>,
-    unopened: Cell<u64>,
-    /// Calls for the list.
-    calls: Cell<u64>,
-    /// Attempts that ended, by [`Outcome`].
-    outcomes: RefCell<[u64; OUTCOMES.len()]>,
-    /// Of those turned away, the ones on a new connection.
-    full_new: Cell<u64>,
-    /// Answers that cost a fetch.
-    misses: Cell<u64>,
+    attempts: Cell<Attempts>,
 }
 
 /// Outcomes of attempts under the names that operators read.
@@ -104,40 +94,36 @@
         self.tries.set(self.tries.get() + 1);
     }
 
+    fn count(&self, change: impl FnOnce(&mut Attempts)) {
+        let mut attempts = self.attempts.get();
+        change(&mut attempts);
+        self.attempts.set(attempts);
+    }
+
     /// A connection to a cache server was opened, or could not be.
     pub fn opened(&self, is_open: bool) {
-        let count = if is_open { &self.opened } else { &self.unopened };
-        count.set(count.get() + 1);
+        self.count(|attempts| if is_open { attempts.opened += 1 } else { attempts.unopened += 1 });
     }
 
     /// Discovery was called.
     pub fn called(&self) {
-        self.calls.set(self.calls.get() + 1);
+        self.count(|attempts| attempts.calls += 1);
     }
 
     /// An attempt ended.
     pub fn attempt_ended(&self, outcome: Outcome, link: Link, note: Option<CacheNote>) {
-        if outcome == Outcome::Overloaded && link == Link::New {
-            self.full_new.set(self.full_new.get() + 1);
-        }
-        if let Some(place) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
-            self.outcomes.borrow_mut()[place] += 1;
-        }
-        if matches!(note, Some(CacheNote::Miss | CacheNote::MissPending)) {
-            self.misses.set(self.misses.get() + 1);
-        }
+        self.count(|attempts| {
+            attempts.full_new += u64::from(outcome == Outcome::Overloaded && link == Link::New);
+            if let Some(place) = OUTCOMES.iter().position(|(known, _)| *known == outcome) {
+                attempts.outcomes[place] += 1;
+            }
+            attempts.misses += u64::from(matches!(note, Some(CacheNote::Miss | CacheNote::MissPending)));
+        });
     }
 
     /// What the attempts came to.
     pub fn attempts(&self) -> Attempts {
-        Attempts {
-            opened: self.opened.get(),
-            unopened: self.unopened.get(),
-            calls: self.calls.get(),
-            outcomes: *self.outcomes.borrow(),
-            full_new: self.full_new.get(),
-            misses: self.misses.get(),
-        }
+        self.attempts.get()
     }
 
     /// By class, attempts, and requests taken and not ended.
--- a/crates/asterport/src/summary.rs
+++ b/crates/asterport/src/summary.rs
@@ -2,8 +2,8 @@
 //! (`tools/fleet.py`): what one router does is seldom seen to harm, what all of them do together is.
 
 use asterport_engine::service::Service;
-use asterport_engine::{Engine, OUTCOMES};
-use onyxpick::Verdict;
+use asterport_engine::{Attempts, Engine, OUTCOMES};
+use onyxpick::{Verdict, View};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -20,8 +20,7 @@
 }
 
 /// What only grows, by name.
-fn counts(engine: &Engine<Service>) -> BTreeMap<String, u64> {
-    let (attempts, view) = engine.attempts();
+fn counts(engine: &Engine<Service>, (attempts, view): &(Attempts, View)) -> BTreeMap<String, u64> {
     let figures = engine.figures();
     let mut counts = BTreeMap::from([
         ("opened".to_string(), attempts.opened),
@@ -46,8 +45,8 @@
 }
 
 /// What stands at this moment, by name; limits and times in thousandths.
-fn levels(engine: &Engine<Service>) -> [(&'static str, u64); 10] {
-    let (holdings, (_, view)) = (engine.holdings(), engine.attempts());
+fn levels(engine: &Engine<Service>, view: &View) -> [(&'static str, u64); 10] {
+    let holdings = engine.holdings();
     let thousandths = |value: f64| (value * 1e3) as u64;
     [
         ("idle", holdings.idle as u64),
@@ -73,9 +72,10 @@
         ticks.tick().await;
         let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
         let mut line = format!("asterport: summary at={at}");
-        let now = counts(&engine);
+        let attempts = engine.attempts();
+        let now = counts(&engine, &attempts);
         let grown = now.iter().map(|(name, count)| (&name[..], count - before.get(name).unwrap_or(&0)));
-        for (name, count) in grown.chain(levels(&engine)).filter(|(_, count)| *count > 0) {
+        for (name, count) in grown.chain(levels(&engine, &attempts.1)).filter(|(_, count)| *count > 0) {
             let _ = write!(line, " {name}={count}");
         }
         eprintln!("{line}");
