What its client no longer waits for is not sent when its connection comes up

Cause: before an attempt's first byte only the server was asked about (Servers::attempt), so a request whose client had left, been answered or called off while the connection came up, or while it waited for a place, was written all the same. put_back compared the address only, so a connection to a server's old process could enter the new one's pool.

Change: one question, Servers::may_begin, before the first byte: does the request want it, does the server take it where the connection leads, is there time. Asked again for each piece of a long write, and before a dial that waited for a place. What came up for nobody is kept for others, and needs no quiet time. An attempt called off before its last byte was out is Void, not Cancelled: it cannot have run. Pools tell processes apart by address and start.

--- a/crates/asterport-engine/src/driver.rs
+++ b/crates/asterport-engine/src/driver.rs
@@ -445,7 +445,8 @@
         if attempt.0 > 0 && matches!(open.reply, Some(Reply::Flight)) {
             state.news.push_back(News::Again(FlightId(id)));
         }
-        let errand = Errand { owner: self.clone(), id, attempt, limit };
+        let is_out = Rc::new(Cell::new(false));
+        let errand = Errand { owner: self.clone(), id, attempt, limit, is_out: is_out.clone() };
         if planted::has(Bug::SendsAfterAnswer) {
             let world = self.clock.world.clone();
             let (server, command, errand) = (server.clone(), open.command.clone(), errand.clone());
@@ -462,7 +463,10 @@
                 biased;
                 ended = work => ended,
                 // An attempt that its client holds up has ended before, and goes on.
-                Ok(()) = cancelled => Outcome::Cancelled.into(),
+                Ok(()) = cancelled => match is_out.get() {
+                    true => Outcome::Cancelled.into(),
+                    false => Outcome::Void.into(),
+                },
             };
             let end = ended.began.map_or_else(|| driver.clock.now(), |began| driver.clock.at(began));
             driver.ended(id, attempt, ended, end.since(now));
@@ -524,6 +528,13 @@
         self.standing(server) == Some(Standing::Takes)
     }
 
+    fn wants(&self, id: RequestId, attempt: AttemptNo) -> bool {
+        let state = self.state.borrow();
+        let is_out = |open: &Open| open.attempts.get(attempt.0 as usize).is_some_and(Option::is_some);
+        planted::has(Bug::SendsAfterAnswer)
+            || state.open.get(&id).is_some_and(|open| open.reply.is_some() && is_out(open))
+    }
+
     fn begins(self: Rc<Self>, id: RequestId, attempt: AttemptNo) -> Takes {
         let pieces = {
             let mut state = self.state.borrow_mut();
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -10,12 +10,15 @@
 };
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::Poll;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWrite};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
 
 /// Idle connections are retired after this share of the time at which a cache server closes them: one written to
@@ -117,6 +120,8 @@
 pub trait Owner {
     /// Whether something new may go to a server now.
     fn may_send(&self, server: &ServerId) -> bool;
+    /// Whether this attempt is still wanted: its request waits for an answer, and the attempt was not called off.
+    fn wants(&self, id: RequestId, attempt: AttemptNo) -> bool;
     /// A long value has begun to come: from here on the request has its answer.
     fn begins(self: Rc<Self>, id: RequestId, attempt: AttemptNo) -> Takes;
     /// The client takes the value so slowly that the server's work has ended long since: it had begun to come after
@@ -131,6 +136,14 @@
     pub id: RequestId,
     pub attempt: AttemptNo,
     pub limit: Limit,
+    /// Its last byte has been written: from then on it may run.
+    pub is_out: Rc<Cell<bool>>,
+}
+
+impl Errand {
+    fn is_wanted(&self) -> bool {
+        self.owner.wants(self.id, self.attempt)
+    }
 }
 
 /// Where the pieces of a long value go, and whom to tell that the client holds them up.
@@ -165,13 +178,24 @@
 struct Connection<W: World> {
     stream: W::Stream,
     received: BytesMut,
-    /// Where it leads: `dial` may change while it is out.
+    /// Where it leads, and to which process there: both may change while it is out.
     addr: SocketAddr,
+    born_ms: u64,
     /// A round trip, as long as the connection took to come up.
     round_trip: Duration,
+    /// Something was written to it: an answer's tail may still come.
+    is_used: bool,
     _room: OwnedSemaphorePermit,
 }
 
+impl<W: World> Pool<W> {
+    /// Whether a connection leads to the process that the list names. An answer of the process before may come after the
+    /// list has told of the new one: its connection ends with it.
+    fn is_of(&self, connection: &Connection<W>) -> bool {
+        self.addr == connection.addr && self.born_ms == connection.born_ms
+    }
+}
+
 impl<W: World> Servers<W> {
     pub fn new(limits: Limits, reports: Columns, tally: Rc<Tally>, world: W) -> Rc<Self> {
         let room = Arc::new(Semaphore::new(limits.connections));
@@ -269,21 +293,32 @@
 
     /// One attempt, from its connection to its outcome. Never longer than its limit.
     pub async fn attempt(self: Rc<Self>, server: ServerId, command: Rc<Command>, errand: Errand) -> Ended {
-        let limit = &errand.limit;
         let (connection, link) = match self.idle_connection(&server) {
             Some((connection, idle)) => (connection, Link::Kept(Micros(idle.as_micros() as u64))),
-            None => match self.connect(&server, limit).await {
+            None => match self.connect(&server, &errand).await {
                 Ok(connection) => (connection, Link::New),
                 Err(outcome) => return Ended { link: Link::New, ..outcome.into() },
             },
         };
-        // Guards the drain grace: the list or the operators may have spoken while the connection came up.
-        if !errand.owner.may_send(&server) {
+        // Much may have happened while the connection came up.
+        if !self.may_begin(&server, &connection, &errand) {
+            self.put_back(&server, connection);
             return Outcome::Void.into();
         }
         Ended { link, ..self.exchange(&server, connection, &command, &errand).await }
     }
 
+    /// The one question before an attempt's first byte: whether its request still wants it, its server still takes it
+    /// where this connection leads, and there is time left. Guards clients that left or were answered meanwhile, the
+    /// drain grace, and the memory of a keyed request. A connection that came up for nobody is kept for others.
+    fn may_begin(&self, server: &ServerId, connection: &Connection<W>, errand: &Errand) -> bool {
+        let leads_there = self.pools.borrow().get(server).is_some_and(|pool| pool.is_of(connection));
+        leads_there
+            && errand.owner.may_send(server)
+            && errand.is_wanted()
+            && self.world.now() <= errand.limit.start_by()
+    }
+
     /// One command and its answer on a connection.
     async fn exchange(
         &self,
@@ -293,28 +328,27 @@
         errand: &Errand,
     ) -> Ended {
         let limit = &errand.limit;
-        let wanted = |pool: &Pool<W>| pool.addr == connection.addr;
-        if !self.pools.borrow().get(server).is_some_and(wanted) {
-            return Outcome::Void.into();
-        }
-        // Guards the memory of a keyed request: it may have run out while the connection came up.
-        if self.world.now() > limit.start_by() {
-            return Outcome::Void.into();
-        }
+        connection.is_used = true;
         let wait = limit.until().saturating_duration_since(self.world.now()).as_millis().max(1);
         let (bytes, value) = command.encode(wait as u64);
         let value = value.as_deref().map_or([&[][..], &[]], |value| [value, b"\r\n"]);
         for bytes in [&bytes[..], value[0], value[1]] {
             let mut written = 0;
             while written < bytes.len() {
+                // Asked each time that the connection takes more: a long value may wait for that.
+                let write = poll_fn(|cx| match errand.is_wanted() {
+                    true => Pin::new(&mut connection.stream).poll_write(cx, &bytes[written..]).map(Some),
+                    false => Poll::Ready(None),
+                });
                 // Broken or given up before the last byte: a cache server begins nothing that is not whole.
-                let write = connection.stream.write(&bytes[written..]);
                 match self.world.timeout_at(limit.start_by(), write).await {
-                    Ok(Ok(count)) if count > 0 => written += count,
+                    Ok(Some(Ok(count))) if count > 0 => written += count,
+                    Ok(None) => return Outcome::Void.into(),
                     _ => return Outcome::Unreachable.into(),
                 }
             }
         }
+        errand.is_out.set(true);
         self.tally.tried();
         self.read_answer(server, connection, errand).await
     }
@@ -464,7 +498,7 @@
         let mut pools = self.pools.borrow_mut();
         let idle = &mut pools.get_mut(server)?.idle;
         let is_settled = |(connection, since): &(Connection<W>, Instant)| {
-            self.age(*since) >= QUIET_TIME + connection.round_trip
+            !connection.is_used || self.age(*since) >= QUIET_TIME + connection.round_trip
         };
         while let Some(place) = idle.iter().rposition(is_settled) {
             let (connection, since) = idle.remove(place);
@@ -478,14 +512,16 @@
     fn put_back(&self, server: &ServerId, mut connection: Connection<W>) {
         connection.received = BytesMut::new();
         let mut pools = self.pools.borrow_mut();
-        let pool = pools.get_mut(server).filter(|pool| pool.addr == connection.addr);
+        let pool = pools.get_mut(server).filter(|pool| pool.is_of(&connection));
         if let Some(pool) = pool {
             pool.idle.push((connection, self.world.now()));
         }
     }
 
-    async fn connect(&self, server: &ServerId, whole: &Limit) -> Result<Connection<W>, Outcome> {
-        let addr = self.pools.borrow().get(server).map(|pool| pool.addr).ok_or(Outcome::Void)?;
+    async fn connect(&self, server: &ServerId, errand: &Errand) -> Result<Connection<W>, Outcome> {
+        let whole = &errand.limit;
+        let place = self.pools.borrow().get(server).map(|pool| (pool.addr, pool.born_ms));
+        let (addr, born_ms) = place.ok_or(Outcome::Void)?;
         let limit = self.world.now() + self.limits.dial_timeout;
         let dial = async {
             let room = match self.room.clone().try_acquire_owned() {
@@ -495,11 +531,16 @@
                     self.room.clone().acquire_owned().await.map_err(io::Error::other)?
                 }
             };
+            if !errand.is_wanted() {
+                return Ok(None);
+            }
             let start = self.world.now();
             let stream = self.world.connect(addr).await?;
             stream.set_nodelay()?;
             let round_trip = self.age(start);
-            io::Result::Ok(Connection { stream, received: BytesMut::new(), addr, round_trip, _room: room })
+            let received = BytesMut::new();
+            let (is_used, _room) = (false, room);
+            io::Result::Ok(Some(Connection { stream, received, addr, born_ms, round_trip, is_used, _room }))
         };
         tokio::pin!(dial);
         loop {
@@ -507,6 +548,8 @@
             tokio::select! {
                 biased;
                 connection = &mut dial => {
+                    // It waited for a place, and nobody wants it any more.
+                    let Some(connection) = connection.transpose() else { return Err(Outcome::Void) };
                     self.tally.opened(connection.is_ok());
                     return connection.map_err(|_| Outcome::Unreachable);
                 }
--- a/crates/asterport-testkit/src/lib.rs
+++ b/crates/asterport-testkit/src/lib.rs
@@ -220,6 +220,11 @@
         self.seen.0.lock().unwrap().commands.iter().map(|(_, words)| words.clone()).collect()
     }
 
+    /// The same, each with the number of its connection.
+    pub fn numbered(&self) -> Vec<(usize, Vec<String>)> {
+        self.seen.0.lock().unwrap().commands.clone()
+    }
+
     /// Connections that came, and those that have ended.
     pub fn connections(&self) -> (usize, usize) {
         let seen = self.seen.0.lock().unwrap();
--- /dev/null
+++ b/crates/asterport/tests/router_departures.rs
@@ -0,0 +1,105 @@
+//! Clients that leave while their requests wait: nothing of theirs is sent on afterwards. The real binary against fake peers on loopback
+//! sockets; each order of events is forced by a peer.
+
+use asterport_testkit::*;
+
+/// The ids of the commands that came to a server.
+fn ids(server: &Server) -> Vec<String> {
+    server.commands().into_iter().map(|words| words[2].clone()).collect()
+}
+
+fn get(key: &str, id: &str) -> Vec<u8> {
+    command(&["C.GET", key, id, "c=read,t=acme,d=15000"])
+}
+
+const KEY: &str = "7f3a9c21e0b4d655";
+
+#[test]
+fn a_connection_that_comes_up_after_the_client_left_carries_nothing_and_is_kept_for_others() {
+    let (silent, fillers) = silent_listener();
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[entry("s-a", silent.local_addr().unwrap(), "up")]);
+    config["settings"]["limits"]["dial_timeout"] = 15.0.into();
+    for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+        class["give_up"] = 20.0.into();
+    }
+    let router = Router::start_with(&config, "[summary]\nevery_second = true\n");
+    let mut leaving = router.client();
+    leaving.write(&get(KEY, "left"));
+    // The router knows that it has left before the connection can come up.
+    leaving.leave();
+    drop(fillers);
+    let server = Server::on("s-a", silent);
+    wait_until("the connection is up", || router.log_has(" opened=1 "));
+    let mut client = router.client();
+    client.write(&get(KEY, "stayed"));
+    assert!(client.answer().unwrap().contains("s-a"));
+    assert_eq!(ids(&server), ["stayed"]);
+    wait_until("it went out on that connection", || router.log_has(" written=1 "));
+    assert_eq!(router.log.lock().unwrap().iter().filter(|line| line.contains(" opened=")).count(), 1);
+}
+
+#[test]
+fn a_request_that_waits_for_a_place_is_not_sent_once_its_client_has_left() {
+    let server = Server::start("s-a");
+    server.usually(Does::IsSilent);
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[server.entry("up")]);
+    // Places for two clients and two connections to cache servers.
+    config["limits"]["sockets"] = 52.into();
+    config["settings"]["limits"]["dial_timeout"] = 15.0.into();
+    for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+        class["give_up"] = 20.0.into();
+    }
+    let router = Router::start(&config);
+    let mut client = router.client();
+    client.send("once", KEY, 15_000);
+    client.send("once", KEY, 15_000);
+    wait_until("both places are taken", || server.commands().len() == 2);
+    let mut leaving = router.client();
+    leaving.write(&get(KEY, "left"));
+    leaving.leave();
+    server.usually(Does::Serves);
+    server.end_connections();
+    assert!(client.answer().unwrap().starts_with("-ERR") && client.answer().unwrap().starts_with("-ERR"));
+    client.write(&get(KEY, "stayed"));
+    assert!(client.answer().unwrap().contains("s-a"));
+    assert!(!ids(&server).contains(&"left".to_string()), "{:?}", ids(&server));
+}
+
+#[test]
+fn a_connection_to_the_process_before_is_not_kept_for_the_one_that_the_list_names_now() {
+    let (server, new) = (Server::start("s-a"), Server::start("s-b"));
+    let (router, discovery) = router_of(&[&server]);
+    server.does(KEY, Does::ServesLater);
+    let mut client = router.client();
+    client.write(&get(KEY, "before"));
+    wait_until("it is at the server", || server.commands().len() == 1);
+    let anew = server.entry("up").replace(r#""born_ms":0"#, r#""born_ms":1700000000000"#);
+    discovery.writes(&format!("{}\n", list(8, false, &[anew, new.entry("up")])));
+    // Each asks for another key until one of the new server shows that the list is known.
+    let (mut other, mut key) = (router.client(), 0);
+    wait_until("the list is known", || {
+        key += 1;
+        let asked = format!("{key:016x}");
+        // What is not the new server's hangs at the other, and tells nothing.
+        server.does(&asked, Does::Says(value("old")));
+        other.ask("read", &asked).contains("s-b")
+    });
+    let opened = server.connections().0;
+    server.open_gate();
+    assert!(client.answer().unwrap().contains("s-a"));
+    let used = |id: &str| server.numbered().into_iter().find(|(_, words)| words[2] == id).expect("it came").0;
+    // Past the time for which a connection has to stay quiet.
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    // As many at once as there may be idle connections.
+    for number in 0..=opened {
+        client.write(&get("000000000000aaaa", &format!("after-{number}")));
+        client.write(&get(KEY, &format!("same-{number}")));
+    }
+    for _ in 0..=opened {
+        assert!(client.answer().is_some() && client.answer().is_some());
+    }
+    let before = used("before");
+    assert!(server.numbered().iter().all(|(number, words)| *number != before || words[2] == "before"));
+}
