--- a/crates/asterport/tests/router_departures.rs
+++ b/crates/asterport/tests/router_departures.rs
@@ -29,9 +29,14 @@
 
 #[test]
 fn a_connection_that_comes_up_after_the_client_left_carries_nothing_and_is_kept_for_others() {
-    let (router, _discovery, silent, fillers) = router_of_a_hung_server();
+    let (router, discovery, silent, fillers) = router_of_a_hung_server();
     let mut leaving = router.client();
+    leaving.write(&command(&["PING"]));
+    assert_eq!(leaving.answer().as_deref(), Some("+PONG\r\n"));
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let before = router.descriptors();
     leaving.write(&get(KEY, "left"));
+    wait_until("it dials", || router.descriptors() > before);
     // The router knows that it has left before the connection can come up.
     leaving.leave();
     drop(fillers);
--- a/crates/asterport/tests/router_upgrade.rs
+++ b/crates/asterport/tests/router_upgrade.rs
@@ -204,3 +204,32 @@
     front.write(&command(&["PING"]));
     assert_eq!(front.answer().as_deref(), Some("+PONG\r\n"));
 }
+
+/// What is owed on a connection keeps it here, unread: its client's end is seen all the same.
+#[test]
+fn a_client_that_leaves_during_a_hand_over_has_left() {
+    let (silent, fillers) = silent_listener();
+    let discovery = Discovery::start(list(7, false, &[]));
+    let mut config = config(discovery.addr, &[entry("s-a", silent.local_addr().unwrap(), "up")]);
+    config["settings"]["limits"]["dial_timeout"] = 15.0.into();
+    for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+        class["give_up"] = 20.0.into();
+    }
+    let platform = Platform::new();
+    let (first, admin) = with_admin(&config);
+    let old = platform.start(&first);
+    wait_until("it is ready", || is_ready(admin));
+    let mut leaving = old.client();
+    leaving.write(&command(&["C.GET", "00000000000000aa", "left", "c=read,t=acme,d=15000"]));
+    leaving.write(&command(&["PING"]));
+    let (next, next_admin) = with_admin(&config);
+    let new = platform.start(&next);
+    wait_until("the next serves", || is_ready(next_admin) && !is_ready(admin));
+    // Long before its time is up, without an answer.
+    leaving.leave();
+    drop(fillers);
+    let server = Server::on("s-a", silent);
+    let mut client = new.client();
+    wait_until("the server is there", || client.ask("read", "00000000000000aa").contains("s-a"));
+    assert!(server.commands().iter().all(|words| words[2] != "left"), "{:?}", server.commands());
+}
