Slow values are passed on whole again; asked watches keep 4.5 s and the module's back-off

Causes: Servers::pass_on broke a value off 0.3 s after its time: that loses it. A place given up by a client that left (Void) tells the connections' module nothing. Loss: an asked discovery whose first call hangs is answered after 7 s.

--- a/crates/asterport-engine/src/discovery.rs
+++ b/crates/asterport-engine/src/discovery.rs
@@ -20,17 +20,20 @@
 use std::time::{Duration, Instant};
 use tokio::sync::Notify;
 
-/// An empty line comes every 2 s at the least, where lists are pushed too; a watch that misses one is broken. Guards against
-/// a discovery that vanished without a word: what such a watch misses counts as told 6 s after it fell silent, and by then
-/// a new one must have been answered, also where the first call for it hangs. Hurts where that line comes nearly a second
-/// late, by a call.
-const SILENCE: Duration = Duration::from_millis(2_900);
+/// An empty line comes every 2 s at the least. Where an agent has the lists, a watch that misses one is broken: what it misses
+/// counts as told 6 s after it fell silent, and by then a new one must have been answered, also where the first call hangs.
+const SILENCE_PUSHED: Duration = Duration::from_millis(2_900);
+/// Where discovery is asked, a watch that misses two is. Guards against routers that all come back at once to a discovery that
+/// has too many callers: 2.9 s and calls in quick succession cost 0.04 of G there. Hurts where the first call then hangs: it
+/// is answered 7 s after the silence began.
+const SILENCE_ASKED: Duration = Duration::from_millis(4_500);
 /// A call that is not connected by then has failed ...
 const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
 /// ... and one that is not answered by then; discovery itself gives one up after 2 s.
 const CALL_LIMIT: Duration = Duration::from_millis(2_500);
-/// After a new configuration, and when a watch has fallen silent, calls that fail are repeated for this long, the first after the pause and each later
-/// one after twice the pause before: the module's own back-off may have grown long with the old address.
+/// After a new configuration, and when an agent's watch has fallen silent, calls that fail are repeated for this long, the
+/// first after the pause and each later one after twice the pause before: the module's own back-off may have grown long with
+/// the old address.
 const RELOAD_WINDOW: Duration = Duration::from_millis(3_500);
 const RELOAD_PAUSE: Duration = Duration::from_millis(100);
 /// Where lists are pushed: how soon the agent is asked again.
@@ -85,7 +88,7 @@
     moved: Notify,
 }
 
-/// What is left of the time in which calls are urgent: after a new configuration, or when a watch has fallen silent.
+/// What is left of the time in which calls are urgent: after a new configuration, or when an agent's watch has fallen silent.
 struct Urgent {
     until: Instant,
     pause: Duration,
@@ -182,7 +185,7 @@
                         self.world.log(format_args!("discovery: watch {error}"));
                     }
                     lost_before = true;
-                    if told.get() && matches!(error, WatchError::Silent) {
+                    if self.pushed && told.get() && matches!(error, WatchError::Silent) {
                         urgent = Urgent::from(self.world.now());
                         next = Some(self.world.now());
                         continue;
@@ -261,7 +264,8 @@
             let limit = match told.get() {
                 _ if is_pushed_silence => self.world.now() + Duration::from_secs(3_600),
                 false => answered_by,
-                true => heard + SILENCE,
+                true if self.pushed => heard + SILENCE_PUSHED,
+                true => heard + SILENCE_ASKED,
             };
             let frame = self.world.timeout_at(limit, body.frame()).await.map_err(late)?;
             let frame = frame.ok_or(WatchError::Ended)??;
--- a/crates/asterport-engine/src/servers.rs
+++ b/crates/asterport-engine/src/servers.rs
@@ -39,10 +39,6 @@
 /// A server that gives nothing of a value that has begun for so long has broken it off: slow ones pause for seconds.
 const STALL_LIMIT: Duration = Duration::from_secs(10);
 
-/// A value that is passed on is broken off so long after its client's time, what the client itself took aside. Guards against a
-/// value that never ends, in pieces that come soon enough each. Hurts nobody: half a second late it counts for nothing.
-const LATE_VALUE: Duration = Duration::from_millis(300);
-
 /// What the settings and the descriptors allow.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -304,6 +300,8 @@
             Some((connection, idle)) => (connection, Link::Kept(Micros(idle.as_micros() as u64))),
             None => match self.connect(&server, &errand).await {
                 Ok(connection) => (connection, Link::New),
+                // Nothing was dialled: that tells nothing of new connections.
+                Err(Outcome::Void) => return Outcome::Void.into(),
                 Err(outcome) => return Ended { link: Link::New, ..outcome.into() },
             },
         };
@@ -377,8 +375,7 @@
                             errand.owner.clone().held_up(errand.id, errand.attempt, took);
                         };
                         let passing = Passing { pieces, held_up };
-                        let by = whole.until() + LATE_VALUE;
-                        let ended = self.pass_on(server, connection, (head, long), passing, by).await;
+                        let ended = self.pass_on(server, connection, (head, long), passing).await;
                         return Ended { began: Some(began), ..ended };
                     }
                     Takes::Nobody => return Outcome::Cancelled.into(),
@@ -438,14 +435,12 @@
         mut connection: Connection<W>,
         (head, mut long): (Bytes, LongReader),
         Passing { pieces, held_up }: Passing<impl Fn()>,
-        mut by: Instant,
     ) -> Ended {
         let mut is_held_up = false;
         let broken = || Ended { begun: true, ..Outcome::Broken.into() };
         let mut next = head;
         let reply = loop {
             if !next.is_empty() {
-                let asked = self.world.now();
                 let sending = pieces.reserve();
                 tokio::pin!(sending);
                 let mut room = self.world.timeout(HELD_UP, &mut sending).await;
@@ -455,8 +450,6 @@
                     }
                     room = Ok(sending.await);
                 }
-                // What the client takes for it is no delay of the server's.
-                by += self.age(asked);
                 match room {
                     Ok(Ok(room)) => room.send(Piece::Bytes(std::mem::take(&mut next))),
                     // The client has left.
@@ -471,8 +464,7 @@
                     let pause = if long.has_value() { REPORT_WAIT } else { STALL_LIMIT };
                     let Connection { stream, received, .. } = &mut connection;
                     received.reserve(PIECE_SIZE);
-                    let limit = by.min(self.world.now() + pause);
-                    match self.world.timeout_at(limit, stream.read_buf(received)).await {
+                    match self.world.timeout(pause, stream.read_buf(received)).await {
                         Ok(Ok(count)) if count > 0 => connection.stream.acknowledge(),
                         _ if long.has_value() => break long.without_report(received),
                         _ => return broken(),
