Repeat a call that discovery rejected after a wait late; call early in small fleets

Callers saw: routers that poll an overloaded discovery kept an old list to the end of the disturbance, and a drain that began in a silence was known up to 3 s late if one call hung.

Change: Event EndpointsChanged carries PollRejected with the wait. After 1 s or more of it the next call follows after 0.25 to 0.75 of ask_within, evenly by router, twice that from the second on. silent_watch.rs (library) takes the place of constants in the runtime: up to 20 routers call from 2.9 s of silence on, 80 ms apart, and every 1.1 s beside a call that waits, the first call of a watch too; more routers as before.

Why it works: the calls of all routers stay below one a router in 8 s, so the queue of given-up calls is worked off; early calls are made only where it can be.

endpoint_discovery, a_silent_agent_removes_no_endpoint: the second call no longer proves that the first has ended, so the same log line is waited for.

--- a/crates/cache-router/tests/endpoint_discovery.rs
+++ b/crates/cache-router/tests/endpoint_discovery.rs
@@ -242,7 +242,10 @@
             .request("read", "00000000000000aa")
             .contains("s-a")
     );
-    assert!(router.log_has("discovery watch lost: no answer within 2.5 s"));
+    // The second call is made beside the first, which has not ended yet.
+    wait_until("the first call has ended", || {
+        router.log_has("discovery watch lost: no answer within 2.5 s")
+    });
 }
 
 #[test]
--- a/crates/load-balancer/src/deployment.rs
+++ b/crates/load-balancer/src/deployment.rs
@@ -208,6 +208,7 @@
     let collapse_multiple = "specifics.origin_fall_multiple";
     Ok(Settings {
         routers: params.number_or("peers_total", 1.0)? as u32,
+        router_place: None,
         zone: zone(params, zones),
         classes,
         tenants,
--- a/crates/load-balancer/src/endpoint.rs
+++ b/crates/load-balancer/src/endpoint.rs
@@ -44,6 +44,11 @@
     Restored,
     /// A poll failed or the watch broke; no entries.
     WatchLost,
+    /// Discovery turned a poll away after it had waited for this long; no entries.
+    PollRejected {
+        /// From the poll to the rejection.
+        waited: Micros,
+    },
 }
 
 impl Endpoint {
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -77,6 +77,7 @@
 mod router;
 mod server_table;
 mod settings;
+mod silent_watch;
 mod slow_start;
 mod stale_connections;
 mod subscription;
@@ -100,5 +101,6 @@
     CacheMode, Class, ConnectionCosts, DeduplicationScope, DiscoveryMode, Idempotency, Limits,
     Rules, Settings, SettingsError, Tenant, Weights,
 };
+pub use silent_watch::SilentWatchPolicy;
 pub use time::Micros;
 pub use warm_state::WarmState;
--- a/crates/load-balancer/src/settings.rs
+++ b/crates/load-balancer/src/settings.rs
@@ -131,6 +131,8 @@
 pub struct Settings {
     /// Routers that share the fleet, this one included; at least 1.
     pub routers: u32,
+    /// This router's place among them, from 0 to 1, where it is known: evenly apart, for what not all may do at once.
+    pub router_place: Option<f64>,
     /// The zone of this router.
     pub zone: Option<ZoneId>,
     /// Classes of requests; at least one.
@@ -282,6 +284,7 @@
     fn default() -> Self {
         Settings {
             routers: 1,
+            router_place: None,
             zone: None,
             classes: Vec::new(),
             tenants: Vec::new(),
--- a/crates/load-balancer/tests/random_events.rs
+++ b/crates/load-balancer/tests/random_events.rs
@@ -61,7 +61,7 @@
         1 => (0..9usize).prop_map(Step::Gone),
         1 => (0..9usize).prop_map(Step::Stream),
         1 => any::<u64>().prop_map(Step::StrayTimer),
-        2 => (0..4usize, proptest::collection::vec(endpoint, 0..9))
+        2 => (0..5usize, proptest::collection::vec(endpoint, 0..9))
             .prop_map(|(update, states)| Step::List { update, states }),
     ]
 }
@@ -248,12 +248,13 @@
             EndpointUpdate::Snapshot,
             EndpointUpdate::Restored,
             EndpointUpdate::WatchLost,
+            EndpointUpdate::PollRejected { waited: ms(2_000) },
         ][update];
-        let states = if update == EndpointUpdate::WatchLost {
-            &[]
-        } else {
-            states
-        };
+        let has_entries = !matches!(
+            update,
+            EndpointUpdate::WatchLost | EndpointUpdate::PollRejected { .. }
+        );
+        let states = if has_entries { states } else { &[] };
         if matches!(update, EndpointUpdate::Snapshot | EndpointUpdate::Restored) {
             for state in self.states.values_mut() {
                 *state = EndpointState::Removed;
--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -9,14 +9,15 @@
 mod watch;
 mod watch_set;
 
+use crate::clock::duration;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::EndpointList;
 use crate::environment::Environment;
 use crate::upstream::UpstreamPools;
 use endpoint_table::EndpointTable;
 use error::WatchError;
-use load_balancer::EndpointUpdate;
 use load_balancer::deployment::Names;
+use load_balancer::{EndpointUpdate, Micros, SilentWatchPolicy};
 use reopening::{FastRetry, Reopening};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -36,8 +37,8 @@
     pub names: Rc<Names>,
     /// Push mode: lists are sent without a subscription of the decision library.
     pub is_push: bool,
-    /// This router's place among the others, from 0 to 1, in what not all may do at once.
-    pub spread: f64,
+    /// When a watch is silent, and how discovery is called then.
+    pub silent_watch: SilentWatchPolicy,
 }
 
 /// See the module.
@@ -45,8 +46,7 @@
     environment: E,
     addr: Cell<SocketAddr>,
     is_push: bool,
-    /// A watch without data for this long has fallen silent.
-    silence_limit: Duration,
+    silent_watch: SilentWatchPolicy,
     dispatcher: Rc<Dispatcher<E>>,
     upstream: Rc<UpstreamPools<E>>,
     endpoints: Rc<EndpointTable<E>>,
@@ -63,6 +63,8 @@
     next_call: Option<Instant>,
     /// A watch was lost before.
     has_lost: bool,
+    /// The longest that a call has waited since the last answer before discovery turned it away.
+    rejected_after: Option<Micros>,
 }
 
 impl CallSchedule {
@@ -90,7 +92,7 @@
             environment,
             addr: Cell::new(config.addr),
             is_push: config.is_push,
-            silence_limit: watch::silence_limit(config.is_push, config.spread),
+            silent_watch: config.silent_watch,
             dispatcher,
             upstream,
             endpoints,
@@ -165,7 +167,7 @@
 
     /// Logs the loss of a watch: one line for each outage, not for each call during one.
     fn log_loss(&self, lost: &LostWatch, schedule: &mut CallSchedule) {
-        if lost.was_answered || !schedule.has_lost {
+        if lost.failed_call.is_none() || !schedule.has_lost {
             self.environment
                 .log(format_args!("discovery watch lost: {}", lost.error));
         }
@@ -179,23 +181,35 @@
             self.log_loss(lost, schedule);
         }
         schedule.next_call = match &mut schedule.fast_retry {
-            Some(fast_retry) if !lost.was_answered => fast_retry.next(self.environment.now()),
+            Some(fast_retry) if lost.failed_call.is_some() => {
+                fast_retry.next(self.environment.now())
+            }
             _ => None,
         };
         if schedule.next_call.is_none() {
             schedule.fast_retry = None;
             if self.is_subscribed.replace(false) {
-                self.dispatcher
-                    .endpoints_changed(EndpointUpdate::WatchLost, Vec::new());
+                let update = self.update_of_loss(lost);
+                self.dispatcher.endpoints_changed(update, Vec::new());
             }
         }
     }
 
-    /// A watch until it is lost, or until the address has changed: then none. One that falls silent stays open beside the
-    /// calls that are to replace it.
+    /// What the decision library is told of a loss.
+    fn update_of_loss(&self, lost: &LostWatch) -> EndpointUpdate {
+        match lost.rejected_after(self.environment.now()) {
+            Some(waited) => EndpointUpdate::PollRejected { waited },
+            None => EndpointUpdate::WatchLost,
+        }
+    }
+
+    /// A watch until it is lost, or until the address has changed: then none. A call that waits, or a watch that falls
+    /// silent, stays open beside the calls that are to replace it.
     async fn watch_until_moved(self: &Rc<Self>, schedule: &mut CallSchedule) -> Option<LostWatch> {
         let mut watches = WatchSet::default();
-        let mut reopening: Option<Reopening> = None;
+        let first_call =
+            Reopening::beside_call(self.environment.now(), self.call_interval(schedule));
+        let mut reopening = Some(first_call);
         self.open_watch(&mut watches);
         loop {
             let next_call = reopening.as_ref().and_then(Reopening::next_call);
@@ -206,16 +220,32 @@
                 // A subscription during a call that it did not cause: the first line answers both.
                 () = self.dispatcher.subscription_wanted() => self.is_subscribed.set(true),
                 event = watches.next() => match event {
-                    WatchEvent::InService => reopening = None,
+                    WatchEvent::InService => {
+                        schedule.rejected_after = None;
+                        reopening = None;
+                    }
                     WatchEvent::Silent => {
-                        let silent = self.silent_watch();
-                        self.log_loss(&silent, schedule);
-                        reopening = Some(Reopening::begin(self.environment.now(), self.is_push));
+                        self.log_loss(&self.silent_watch(None), schedule);
+                        let now = self.environment.now();
+                        let call_interval = self.call_interval(schedule);
+                        reopening = Some(Reopening::of_silent_watch(now, call_interval));
+                    }
+                    WatchEvent::Lost(lost) => {
+                        let now = self.environment.now();
+                        schedule.rejected_after =
+                            schedule.rejected_after.max(lost.rejected_after(now));
+                        match &mut reopening {
+                            Some(reopening)
+                                if reopening.replaces_silent_watch() || !watches.has_no_call() =>
+                            {
+                                if !reopening.replaces_silent_watch() {
+                                    self.log_loss(&lost, schedule);
+                                }
+                                reopening.watch_lost(now, &lost, self.call_interval(schedule));
+                            }
+                            _ => return Some(lost),
+                        }
                     }
-                    WatchEvent::Lost(lost) => match &mut reopening {
-                        None => return Some(lost),
-                        Some(reopening) => reopening.call_failed(self.environment.now()),
-                    },
                 },
                 () = self.environment.sleep_until(next_call_at), if next_call.is_some() => {
                     if let Some(reopening) = &mut reopening {
@@ -224,18 +254,20 @@
                     self.open_watch(&mut watches);
                 }
             }
-            let is_given_up = reopening
+            let given_up = reopening
                 .as_ref()
-                .is_some_and(|reopening| reopening.next_call().is_none());
-            if is_given_up && watches.has_no_call() {
-                return Some(self.silent_watch());
+                .filter(|reopening| reopening.next_call().is_none());
+            if let Some(reopening) = given_up
+                && watches.has_no_call()
+            {
+                return Some(self.silent_watch(reopening.rejected_call()));
             }
         }
     }
 
     /// Calls discovery.
     fn open_watch(self: &Rc<Self>, watches: &mut WatchSet) {
-        let progress = Rc::new(WatchProgress::default());
+        let progress = Rc::new(WatchProgress::called(self.environment.now()));
         let (discovery, watched) = (self.clone(), progress.clone());
         watches.open(progress, async move {
             let Err(error) = discovery.watch(&watched).await;
@@ -243,11 +275,23 @@
         });
     }
 
-    /// The loss of a watch that is silent.
-    fn silent_watch(&self) -> LostWatch {
+    /// Between calls beside those that wait; `None`: none are made.
+    fn call_interval(&self, schedule: &CallSchedule) -> Option<Duration> {
+        let interval = self.silent_watch.call_interval(schedule.rejected_after);
+        interval.map(duration)
+    }
+
+    /// A watch without data for this long has fallen silent.
+    fn silence_limit(&self) -> Duration {
+        duration(self.silent_watch.silence_limit)
+    }
+
+    /// The loss of a watch that is silent; `rejected_call` was to replace it.
+    fn silent_watch(&self, rejected_call: Option<Instant>) -> LostWatch {
         LostWatch {
-            error: WatchError::Silent(self.silence_limit),
-            was_answered: true,
+            error: WatchError::Silent(self.silence_limit()),
+            failed_call: None,
+            rejected_call,
         }
     }
 
--- a/crates/router-runtime/src/discovery/reopening.rs
+++ b/crates/router-runtime/src/discovery/reopening.rs
@@ -1,17 +1,15 @@
 //! When to call discovery while a watch is silent, and after a new configuration.
 //!
-//! What a silent watch misses counts as told 6 s after it fell silent. Where an agent pushes lists, calls are made until
-//! one is answered, also beside those that hang. Where discovery is asked one call is made, and the decision library's
-//! back-off follows: discovery is one service for all routers, and does not recover from more calls than it can answer.
+//! What a silent watch misses counts as told 6 s after it fell silent. Calls are made until one is answered, at an interval
+//! beside those that wait, or once alone, as the decision library's policy of silent watches says; its back-off follows.
 
+use super::watch_set::LostWatch;
 use std::time::{Duration, Instant};
 
 /// Calls are repeated fast for this long: the decision library's own back-off may be longer than the time that is left.
 const FAST_RETRY_WINDOW: Duration = Duration::from_millis(3_500);
 /// The pause before the first repeated call; it doubles with each.
 const FAST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Beside a call without an answer for this long another one is made. Two that hang leave time for a third.
-const CALL_INTERVAL: Duration = Duration::from_millis(1_100);
 
 /// The time in which failed calls are repeated fast.
 pub(super) struct FastRetry {
@@ -36,38 +34,76 @@
     }
 }
 
-/// The calls that are to replace a silent watch.
+/// The calls beside one that waits for its answer, or that are to replace a silent watch.
 pub(super) struct Reopening {
-    /// `None`: one call is made and no other.
+    /// Between calls beside those that wait; `None`: one call is made and no other.
+    call_interval: Option<Duration>,
+    /// No more calls are made from then on.
+    until: Instant,
+    /// Failed calls are repeated; `None` while no watch is silent.
     retry: Option<FastRetry>,
     /// When the next call is due; `None`: no more are made.
     next_call: Option<Instant>,
+    /// When the last call was made of those that discovery turned away.
+    rejected_call: Option<Instant>,
 }
 
 impl Reopening {
+    /// The first call for a watch is made.
+    pub fn beside_call(now: Instant, call_interval: Option<Duration>) -> Reopening {
+        Reopening {
+            call_interval,
+            until: now + FAST_RETRY_WINDOW,
+            retry: None,
+            next_call: call_interval.map(|interval| now + interval),
+            rejected_call: None,
+        }
+    }
+
     /// The watch has fallen silent: the first call is due.
-    pub fn begin(now: Instant, is_push: bool) -> Reopening {
+    pub fn of_silent_watch(now: Instant, call_interval: Option<Duration>) -> Reopening {
         Reopening {
-            retry: is_push.then(|| FastRetry::from(now)),
+            retry: Some(FastRetry::from(now)),
             next_call: Some(now),
+            ..Reopening::beside_call(now, call_interval)
         }
     }
 
+    /// Whether a silent watch is to be replaced.
+    pub fn replaces_silent_watch(&self) -> bool {
+        self.retry.is_some()
+    }
+
     /// When the next call is due.
     pub fn next_call(&self) -> Option<Instant> {
         self.next_call
     }
 
+    /// When the last call was made of those that discovery turned away.
+    pub fn rejected_call(&self) -> Option<Instant> {
+        self.rejected_call
+    }
+
     /// A call is made.
     pub fn called(&mut self, now: Instant) {
-        let next = now + CALL_INTERVAL;
-        let retry = self.retry.as_ref();
-        self.next_call = retry.and_then(|retry| (next < retry.until).then_some(next));
+        let next = self.call_interval.map(|interval| now + interval);
+        self.next_call = next.filter(|next| *next < self.until);
     }
 
-    /// A call has failed.
-    pub fn call_failed(&mut self, now: Instant) {
-        let retry = self.retry.as_mut().and_then(|retry| retry.next(now));
+    /// A call has failed, or a watch has ended. From now on calls are made at this interval; `None`: no more are made.
+    pub fn watch_lost(&mut self, now: Instant, lost: &LostWatch, call_interval: Option<Duration>) {
+        self.rejected_call = lost.rejected_call.or(self.rejected_call);
+        self.call_interval = call_interval;
+        let Some(interval) = call_interval else {
+            self.next_call = None;
+            return;
+        };
+        // Another call has been made beside one that waited for longer.
+        let has_call_beside = lost.waited(now).is_some_and(|waited| waited >= interval);
+        let retry = match &mut self.retry {
+            Some(retry) if !has_call_beside => retry.next(now),
+            _ => None,
+        };
         self.next_call = match (self.next_call, retry) {
             (Some(next), Some(retry)) => Some(next.min(retry)),
             (next, retry) => next.or(retry),
--- a/crates/router-runtime/src/discovery/watch.rs
+++ b/crates/router-runtime/src/discovery/watch.rs
@@ -17,14 +17,6 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-/// A pushed watch without data for this long is silent. Discovery sends an empty line every 2 s: this misses one. What it
-/// misses counts as told 6 s after the silence began, and calls fit in before, also where two hang.
-const PUSH_SILENCE_LIMIT: Duration = Duration::from_millis(2_900);
-/// A watch where discovery is asked is silent after this time: it has missed two of those lines. Guards against routers
-/// that call a discovery which is overloaded, so that lines are late ...
-const SUBSCRIPTION_SILENCE_LIMIT: Duration = Duration::from_millis(4_500);
-/// ... and after up to this much more by router, as it takes calls in turn and all watches may fall silent at once.
-const SUBSCRIPTION_SILENCE_SPREAD: Duration = Duration::from_secs(1);
 /// A call without a connection by then has failed ...
 const CONNECT_LIMIT: Duration = Duration::from_millis(1_200);
 /// ... and one without an answer by then; discovery gives a call up after 2 s.
@@ -37,17 +29,6 @@
     answer_by: Instant,
 }
 
-/// How long a watch may be without data; `spread` is the router's place among the others, from 0 to 1.
-pub(super) fn silence_limit(is_push: bool, spread: f64) -> Duration {
-    match is_push {
-        true => PUSH_SILENCE_LIMIT,
-        false => {
-            let longer_by_ms = SUBSCRIPTION_SILENCE_SPREAD.as_millis() as f64 * spread;
-            SUBSCRIPTION_SILENCE_LIMIT + Duration::from_millis(longer_by_ms as u64)
-        }
-    }
-}
-
 impl<E: Environment> Discovery<E> {
     /// Watches until the watch is lost. Its first line answers the subscription.
     pub(super) async fn watch(&self, progress: &WatchProgress) -> Result<Infallible, WatchError> {
@@ -181,7 +162,7 @@
         call: Call,
     ) -> Instant {
         let deadline = match progress.is_answered.get() {
-            true => last_data_at + self.silence_limit,
+            true => last_data_at + self.silence_limit(),
             false => call.answer_by,
         };
         hooks::silence_deadline(deadline, self.is_push, self.environment.now())
--- a/crates/router-runtime/src/discovery/watch_set.rs
+++ b/crates/router-runtime/src/discovery/watch_set.rs
@@ -2,15 +2,18 @@
 //! it. The first that brings data is the one in service, and the others are closed.
 
 use super::error::WatchError;
+use load_balancer::Micros;
 use std::cell::Cell;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::{Duration, Instant};
 
 /// How far a watch has come.
-#[derive(Default)]
 pub(super) struct WatchProgress {
+    /// When discovery was called.
+    pub called_at: Instant,
     /// The call has its answer.
     pub is_answered: Cell<bool>,
     /// The watch brings nothing, for longer than it may.
@@ -18,6 +21,15 @@
 }
 
 impl WatchProgress {
+    /// Discovery is called now.
+    pub fn called(now: Instant) -> WatchProgress {
+        WatchProgress {
+            called_at: now,
+            is_answered: Cell::new(false),
+            is_silent: Cell::new(false),
+        }
+    }
+
     fn is_in_service(&self) -> bool {
         self.is_answered.get() && !self.is_silent.get()
     }
@@ -27,8 +39,35 @@
 pub(super) struct LostWatch {
     /// Why.
     pub error: WatchError,
-    /// Whether its call had been answered.
-    pub was_answered: bool,
+    /// When the call for it was made; `None`: it was answered.
+    pub failed_call: Option<Instant>,
+    /// When a call was made that discovery turned away, if one was.
+    pub rejected_call: Option<Instant>,
+}
+
+impl LostWatch {
+    fn new(error: WatchError, progress: &WatchProgress) -> LostWatch {
+        let failed_call = (!progress.is_answered.get()).then_some(progress.called_at);
+        let is_rejected = matches!(error, WatchError::Status(_));
+        LostWatch {
+            error,
+            failed_call,
+            rejected_call: failed_call.filter(|_| is_rejected),
+        }
+    }
+
+    /// How long its call had waited, if it failed.
+    pub fn waited(&self, now: Instant) -> Option<Duration> {
+        let waited = |call| now.saturating_duration_since(call);
+        self.failed_call.map(waited)
+    }
+
+    /// How long the call had waited that discovery turned away, if one was.
+    pub fn rejected_after(&self, now: Instant) -> Option<Micros> {
+        let waited = |call| now.saturating_duration_since(call);
+        self.rejected_call
+            .map(|call| Micros(waited(call).as_micros() as u64))
+    }
 }
 
 /// What has happened to the watches.
@@ -92,11 +131,7 @@
         let watch = &mut self.watches[place];
         if let Poll::Ready(error) = watch.end.as_mut().poll(cx) {
             let watch = self.watches.remove(place);
-            let was_answered = watch.progress.is_answered.get();
-            return Some(WatchEvent::Lost(LostWatch {
-                error,
-                was_answered,
-            }));
+            return Some(WatchEvent::Lost(LostWatch::new(error, &watch.progress)));
         }
         let is_in_service = watch.progress.is_in_service();
         let was_in_service = std::mem::replace(&mut watch.was_in_service, is_in_service);
--- a/crates/router-runtime/src/runtime/config.rs
+++ b/crates/router-runtime/src/runtime/config.rs
@@ -6,7 +6,7 @@
 use crate::mutation::hooks;
 use crate::upstream::UpstreamLimits;
 use load_balancer::deployment::{Deployment, Names};
-use load_balancer::{Class, DiscoveryMode, LoadReportFormat, Micros, Router};
+use load_balancer::{Class, DiscoveryMode, LoadReportFormat, Micros, Router, SilentWatchPolicy};
 use request_coalescing::CoalescingRules;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -79,7 +79,12 @@
     /// Checks a configuration and derives the setup.
     pub fn new(config: RouterConfig) -> Result<RouterSetup, ConfigError> {
         let deployment = config.deployment;
-        let settings = hooks::settings(deployment.settings);
+        let mut settings = hooks::settings(deployment.settings);
+        let routers = settings.routers;
+        settings.router_place = deployment
+            .router_number
+            .map(|number| place(number, routers));
+        let chance = config.seed as f64 / u64::MAX as f64;
         let upstream_limits = UpstreamLimits {
             connect_timeout: duration(deployment.dial_timeout.min(MAX_TIMEOUT)),
             server_idle_timeout: duration(settings.connection_idle.min(MAX_TIMEOUT)),
@@ -90,7 +95,11 @@
             addr: config.discovery,
             names: names.clone(),
             is_push: settings.discovery == DiscoveryMode::Push,
-            spread: spread(deployment.router_number, settings.routers, config.seed),
+            silent_watch: SilentWatchPolicy::new(
+                settings.discovery,
+                settings.routers,
+                settings.router_place.unwrap_or(chance),
+            ),
         };
         let classes = settings.classes.clone();
         let deadlines = classes.iter().map(|class| class.deadline);
@@ -113,12 +122,9 @@
     }
 }
 
-/// A router's place among the others, from 0 to 1: by its number, so that they are evenly apart, or else by chance.
-fn spread(number: Option<u32>, routers: u32, seed: u64) -> f64 {
-    match number {
-        Some(number) => f64::from(number % routers.max(1)) / f64::from(routers.max(1)),
-        None => seed as f64 / u64::MAX as f64,
-    }
+/// The place among the others, from 0 to 1, of the router of this number.
+fn place(number: u32, routers: u32) -> f64 {
+    f64::from(number % routers.max(1)) / f64::from(routers.max(1))
 }
 
 /// How many connections clients, and how many cache servers, may have.
--- a/crates/router-simulation/src/discovery.rs
+++ b/crates/router-simulation/src/discovery.rs
@@ -1,8 +1,10 @@
 //! A model of discovery: the endpoint list over HTTP/1.1, whole or as a watch on its changes, with the faults that a plan
 //! wants of it.
 
+mod call_queue;
 mod list;
 
+pub use call_queue::CallQueue;
 pub use list::{ListEntry, RESPONSE_HEAD, chunk, list_json};
 
 use crate::executor::{Node, Time};
@@ -11,6 +13,7 @@
 use crate::invariant_checker::Role;
 use crate::network::SimulatedStream;
 use crate::simulation::Simulation;
+use call_queue::Turn;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -70,6 +73,10 @@
     pub calls_to_hang: Cell<usize>,
     /// Calls fail until then.
     pub down_until: Cell<Time>,
+    /// Calls wait their turn here, once it is set.
+    queue: RefCell<Option<Rc<CallQueue>>>,
+    /// When each router's machine had its last answer from the queue.
+    answered_at: RefCell<BTreeMap<Node, Time>>,
     /// The whole list as each router's machine last had it.
     last_lists: RefCell<BTreeMap<Node, String>>,
 }
@@ -98,6 +105,8 @@
             silenced: Notify::new(),
             calls_to_hang: Cell::new(0),
             down_until: Cell::new(0),
+            queue: RefCell::default(),
+            answered_at: RefCell::default(),
             last_lists: RefCell::default(),
         });
         let node = discovery.node;
@@ -191,7 +200,7 @@
         }
         let executor = &self.simulation.executor;
         executor.sleep(RESPONSE_TIME).await;
-        if executor.now() < self.down_until.get() {
+        if executor.now() < self.down_until.get() || self.is_rejected(&stream).await {
             let busy = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
             // The router has gone if this fails.
             let _ = stream.write_all(busy).await;
@@ -201,6 +210,36 @@
         self.watch(stream, known.unwrap_or(0)).await;
     }
 
+    /// From now on calls wait their turn.
+    pub fn begin_queue(&self, queue: Rc<CallQueue>) {
+        *self.queue.borrow_mut() = Some(queue);
+    }
+
+    /// When each router's machine had its last answer from the queue.
+    pub fn answered_at(&self) -> BTreeMap<Node, Time> {
+        self.answered_at.borrow().clone()
+    }
+
+    /// Waits for the turn of a call in the queue, if there is one.
+    async fn is_rejected(&self, stream: &SimulatedStream) -> bool {
+        let Some(queue) = self.queue.borrow().clone() else {
+            return false;
+        };
+        let executor = &self.simulation.executor;
+        match queue.take_in(executor.now()) {
+            Turn::Answered(at) => {
+                executor.sleep_until(at).await;
+                let mut answered_at = self.answered_at.borrow_mut();
+                answered_at.insert(stream.peer(), executor.now());
+                false
+            }
+            Turn::Rejected(at) => {
+                executor.sleep_until(at).await;
+                true
+            }
+        }
+    }
+
     fn record_silence(&self, stream: &SimulatedStream) {
         let now = self.simulation.executor.now();
         let mut checker = self.simulation.checker.borrow_mut();
--- a/crates/router-simulation/src/run.rs
+++ b/crates/router-simulation/src/run.rs
@@ -3,6 +3,7 @@
 mod end_check;
 mod faults;
 mod operators;
+mod overloaded_discovery;
 mod routers;
 mod traffic;
 
@@ -21,6 +22,8 @@
 use routers::RouterProcess;
 use std::rc::Rc;
 
+pub use overloaded_discovery::{OverloadedDiscovery, Recovery};
+
 /// What a run came to.
 #[derive(Clone, Debug)]
 pub struct Report {
--- a/crates/router-simulation/src/simulation.rs
+++ b/crates/router-simulation/src/simulation.rs
@@ -55,5 +55,6 @@
 
 /// The address of the machine of this number in a subnet.
 pub(crate) fn address(subnet: Subnet, number: usize, port: u16) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(10, subnet as u8, 0, number as u8 + 1), port))
+    let [high, low] = (number as u16 + 1).to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(10, subnet as u8, high, low), port))
 }
