End an attempt whose client left while its server pauses within a long answer

Callers saw (not in service): once as many clients had left in the middle of long answers as the router has connections to cache servers, all others got -BUSY for up to 10 s.

Cause: stream_value waited for its server's next piece, up to SERVER_STALL_LIMIT (10 s), and looked at its client only with a piece in hand; hold_response looked at nobody until its deadline, and kept the memory of held answers meanwhile.

Change: the wait for a piece ends when the client's half of the channel closes; a held answer ends when nobody waits for its request (BodyConsumer::Buffer carries what tells it). Short answers run to their end as before, as their connection is used again.

--- a/crates/router-runtime/src/dispatcher.rs
+++ b/crates/router-runtime/src/dispatcher.rs
@@ -105,6 +105,7 @@
             shared_end,
             sink: Some(sink),
             connection: request.connection,
+            abandoned: Rc::default(),
             attempts: Vec::new(),
         };
         self.state.borrow_mut().requests.insert(id, open_request);
@@ -120,9 +121,9 @@
         }));
     }
 
-    /// Nobody waits for a request. Its attempts in flight run on to their end.
+    /// Nobody waits for a request. Its attempts in flight run on to their end, but for those whose long value is held.
     fn abandon(self: &Rc<Self>, id: RequestId) {
-        let is_pending = self.state.borrow_mut().requests.take_sink(id).is_some();
+        let is_pending = self.state.borrow_mut().requests.abandon(id);
         if is_pending {
             self.handle(Event::ClientDisconnected { id });
             self.remove_if_over(id);
--- a/crates/router-runtime/src/dispatcher/attempts.rs
+++ b/crates/router-runtime/src/dispatcher/attempts.rs
@@ -186,7 +186,7 @@
                 return BodyConsumer::Nobody;
             };
             if request.is_shared() || !request.connection.begin_streaming() {
-                return BodyConsumer::Buffer;
+                return BodyConsumer::Buffer(request.abandoned.clone());
             }
             // One piece on its way beside the one that is read: the server goes at the client's pace.
             let (pieces, body) = mpsc::channel(1);
--- a/crates/router-runtime/src/dispatcher/open_requests.rs
+++ b/crates/router-runtime/src/dispatcher/open_requests.rs
@@ -12,7 +12,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Instant;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 /// Who gets the final response.
 pub enum ResponseSink {
@@ -36,6 +36,8 @@
     pub sink: Option<ResponseSink>,
     /// The connection of its client; of a shared one, that of the client that opened it.
     pub connection: Rc<dyn ResponseStream>,
+    /// Told when nobody waits for the response any more.
+    pub abandoned: Rc<Notify>,
     /// One for each attempt so far, `None` once it has ended. Sending on it cancels the attempt.
     pub attempts: Vec<Option<oneshot::Sender<()>>>,
 }
@@ -126,6 +128,15 @@
         Some(sink)
     }
 
+    /// Nobody waits for a request any more; whether somebody did.
+    pub fn abandon(&mut self, id: RequestId) -> bool {
+        let is_pending = self.take_sink(id).is_some();
+        if let Some(request) = self.requests.get(&id).filter(|_| is_pending) {
+            request.abandoned.notify_waiters();
+        }
+        is_pending
+    }
+
     /// The one place where a request gets its final response.
     pub fn respond(&mut self, id: RequestId, response: Response) {
         match self.take_sink(id) {
--- a/crates/router-runtime/src/upstream/attempt.rs
+++ b/crates/router-runtime/src/upstream/attempt.rs
@@ -15,7 +15,7 @@
 use std::task::Poll;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWrite;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 
 /// How long an attempt may take.
 #[derive(Clone, Debug)]
@@ -78,8 +78,8 @@
 pub enum BodyConsumer {
     /// A client, piece by piece.
     Stream(mpsc::Sender<BodyPiece>),
-    /// Several clients, or one that waits for more than this value; once it is whole.
-    Buffer,
+    /// Several clients, or one that waits for more than this value; once it is whole. Told when nobody waits any more.
+    Buffer(Rc<Notify>),
     /// Nobody waits for it.
     Nobody,
 }
--- a/crates/router-runtime/src/upstream/response.rs
+++ b/crates/router-runtime/src/upstream/response.rs
@@ -77,8 +77,13 @@
                             .await;
                     }
                     BodyConsumer::Nobody => return Outcome::Cancelled.into(),
-                    BodyConsumer::Buffer => {
-                        return self.hold_response(server, connection, long, context).await;
+                    BodyConsumer::Buffer(abandoned) => {
+                        let held = self.hold_response(server, connection, long, context);
+                        return tokio::select! {
+                            biased;
+                            result = held => result,
+                            () = abandoned.notified() => Outcome::Cancelled.into(),
+                        };
                     }
                 }
             }
@@ -263,9 +268,14 @@
                     }
                 }
             }
-            part = match self.next_part(&mut connection, &mut reader).await {
-                Some(part) => part,
-                None => return connection_lost(true),
+            part = tokio::select! {
+                biased;
+                next = self.next_part(&mut connection, &mut reader) => match next {
+                    Some(part) => part,
+                    None => return connection_lost(true),
+                },
+                // The server may pause for long, and its connection is wanted for others.
+                () = pieces.closed() => return Outcome::Cancelled.into(),
             };
         };
         let result = self.result(reply);
