Cut the limit on fetches only where the origin, not a slow server, makes them late

Cause: a late fetch cut a router's limit on fetches as long as fetches took twice their least time beyond a hit. Where they take hardly longer than hits that least is near nothing, so slow servers alone cut the limit, from 13 to 20 down to 0.05 to 3, and rejected clients came back. Ruled out: retry budget, slow start, quotas.

Change: the limit is cut and held back only where fetches also take over half of the useful time in the mean. Moves of keys stop at the first sign of a queue, as before.

Before and after: late_fetches_of_slow_servers_do_not_decrease_the_limit failed on the text before (request 48 rejected) and passes.

--- a/crates/load-balancer/src/origin_fetch_limit.rs
+++ b/crates/load-balancer/src/origin_fetch_limit.rs
@@ -268,17 +268,23 @@
         self.latency.average() > queue_latency.min(self.useful_latency.scaled(2.0))
     }
 
+    /// Whether the queue at the origin takes up much of the time in which an answer is of use. Where the minimum is
+    /// short, slow servers alone lift the average to a multiple of it, and late fetches are then theirs.
+    fn is_overloaded(&self) -> bool {
+        self.has_queue() && self.latency.average() > self.useful_latency
+    }
+
     fn adjust(&mut self, is_in_time: bool, beyond_hit: Micros) {
         self.late_ratio.observe_event(!is_in_time);
-        let has_queue = self.has_queue();
-        if has_queue && !is_in_time {
+        let is_overloaded = self.is_overloaded();
+        if is_overloaded && !is_in_time {
             self.decrease();
         } else if self.limit < 1.0 {
             self.recover(beyond_hit);
-        } else if !has_queue && self.limit < self.remembered_limit * DECREASE_RATIO {
+        } else if !is_overloaded && self.limit < self.remembered_limit * DECREASE_RATIO {
             self.limit += DECREASE_RATIO;
         } else if f64::from(self.in_flight + 1) * 2.0 >= self.limit {
-            self.limit += if has_queue {
+            self.limit += if is_overloaded {
                 DECREASE_RATIO * TOLERATED_LATE_RATIO / (1.0 - TOLERATED_LATE_RATIO)
             } else {
                 INCREASE_COUNT
--- a/crates/load-balancer/tests/origin_fetch_limit.rs
+++ b/crates/load-balancer/tests/origin_fetch_limit.rs
@@ -37,6 +37,28 @@
     assert!(!fill(&mut rig, 9_000).is_empty(), "they have ended");
 }
 
+/// Guards against a limit that falls for slow servers and stays down, as rejected clients come back: where fetches take
+/// hardly longer than hits, a few slow ones lift their average to a multiple of the least.
+#[test]
+fn late_fetches_of_slow_servers_do_not_decrease_the_limit() {
+    let mut rig = TestRouter::new(settings(), ready(20));
+    let before = rig.router.diagnostics().fetch_limit;
+    for key in 0..200 {
+        let (id, actions) = rig.request(0, key);
+        assert!(sent(&actions).is_some(), "request {key}");
+        let elapsed_ms = if key % 6 == 5 { 400 } else { 20 };
+        rig.event(ended_with_status(
+            id,
+            Outcome::Success,
+            elapsed_ms,
+            Some(CacheStatus::Miss),
+        ));
+        rig.now = rig.now.plus(ms(20));
+    }
+    let after = rig.router.diagnostics().fetch_limit;
+    assert!(after >= before, "{before} to {after}, with one in six late");
+}
+
 /// Guards against a limit cut by chance: at an origin that is well some fetches take long, and tell nothing.
 #[test]
 fn a_few_late_fetches_among_quick_ones_do_not_decrease_the_limit() {
