The soak plays long writes, slow readers, servers that vanish and values that pause

Change: each plan draws one to three of these kinds more, from a stream of its own, so that a seed keeps its earlier faults; silences have hanging and failing calls in both modes. A server that vanishes takes bytes and connections of the kernel's, as loopback knows no lost packets; connections that come up late are still first answers that come late.

--- a/crates/router-soak/src/client.rs
+++ b/crates/router-soak/src/client.rs
@@ -8,6 +8,7 @@
 use router_simulation::wire::{
     DecodedFrame, FrameDecoder, Response, read_command, request_id, write_command,
 };
+use socket2::SockRef;
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -27,6 +28,13 @@
 const NO_TIME_RATIO: f64 = 0.05;
 /// A client waits for an answer this much longer than its time.
 const LATE_ANSWER_TIME: Duration = Duration::from_millis(700);
+/// How often a client reads late while clients read slowly, for how many milliseconds at most, and its receive buffer.
+const SLOW_RATIO: f64 = 0.3;
+const MAX_READ_DELAY_MS: u64 = 300;
+const SMALL_RECEIVE_BUFFER: usize = 4_096;
+/// How often a write is long while clients write long values, and the longest one, in bytes.
+const LONG_WRITE_RATIO: f64 = 0.3;
+const MAX_WRITE_BYTES: u64 = 600_000;
 /// The longest pause between two pipelines, in milliseconds.
 const MAX_PAUSE_MS: u64 = 120;
 
@@ -39,6 +47,10 @@
     last_request: Cell<u32>,
     /// Clients leave before their answers.
     pub are_leaving: Cell<bool>,
+    /// Clients write long values.
+    pub write_long_values: Cell<bool>,
+    /// Clients read late, with small receive buffers where they connect meanwhile.
+    pub read_slowly: Cell<bool>,
     /// From then on no new connection is opened.
     pub connect_until: Cell<Option<Instant>>,
     /// Requests sent, and answers received.
@@ -74,6 +86,8 @@
             rng: RefCell::new(SeededRng::new(plan.seed, 3)),
             last_request: Cell::new(0),
             are_leaving: Cell::new(false),
+            write_long_values: Cell::new(false),
+            read_slowly: Cell::new(false),
             connect_until: Cell::new(None),
             requests: Cell::new(0),
             answers: Cell::new(0),
@@ -102,6 +116,9 @@
             }
             if let Ok(stream) = TcpStream::connect(self.router).await {
                 let _ = stream.set_nodelay(true);
+                if self.read_slowly.get() {
+                    let _ = SockRef::from(&stream).set_recv_buffer_size(SMALL_RECEIVE_BUFFER);
+                }
                 return Some(Connection {
                     number: self.recorder.client_connected(),
                     stream,
@@ -129,6 +146,10 @@
             return Err(Over);
         }
         let until = Instant::now() + pipeline.longest + LATE_ANSWER_TIME;
+        if self.read_slowly.get() && self.chance(SLOW_RATIO) {
+            let delay = self.rng.borrow_mut().range(0, MAX_READ_DELAY_MS);
+            tokio::time::sleep(Duration::from_millis(delay)).await;
+        }
         while !connection.pending.is_empty() {
             self.read_answers(connection, until).await?;
         }
@@ -254,6 +275,10 @@
         let fields = format!("c={},t=acme,d={wait_ms},k={id:016x}", CLASSES[class]);
         pipeline.bytes.extend(match class {
             0 => read_command(key, id, &fields),
+            _ if self.write_long_values.get() && rng.chance(LONG_WRITE_RATIO) => {
+                let size = rng.range(70_000, MAX_WRITE_BYTES) as usize;
+                write_command(key, id, &fields, &vec![b'w'; size])
+            }
             _ => write_command(key, id, &fields, b"sheet"),
         });
         pipeline.ids.push(id);
--- a/crates/router-soak/src/plan.rs
+++ b/crates/router-soak/src/plan.rs
@@ -38,6 +38,14 @@
     LongValues,
     /// Clients leave before their answers.
     ClientsLeave,
+    /// Clients write long values.
+    LongWrites,
+    /// Clients read their answers late, with small receive buffers.
+    SlowReaders,
+    /// A server neither reads nor answers nor closes, and comes back in another process.
+    Vanish(usize),
+    /// Values are long, and pause half-way.
+    PausedValues,
 }
 
 /// A fault at its time.
@@ -129,6 +137,8 @@
             ending: ENDINGS[rng.index(ENDINGS.len())],
         };
         plan.draw_faults(&mut SeededRng::new(seed, 2));
+        plan.draw_further_faults(&mut SeededRng::new(seed, 4));
+        plan.faults.sort_by_key(|fault| fault.at_ms);
         plan
     }
 
@@ -145,7 +155,24 @@
         if rng.chance(0.5) {
             self.draw_silence(rng);
         }
-        self.faults.sort_by_key(|fault| fault.at_ms);
+    }
+
+    /// Kinds that are drawn apart, so that the plans of seeds keep the others.
+    fn draw_further_faults(&mut self, rng: &mut SeededRng) {
+        for _ in 0..rng.range(1, 3) {
+            let server = rng.index(self.servers);
+            let kinds = [
+                FaultKind::LongWrites,
+                FaultKind::SlowReaders,
+                FaultKind::Vanish(server),
+                FaultKind::PausedValues,
+            ];
+            self.faults.push(PlannedFault {
+                kind: kinds[rng.index(kinds.len())],
+                at_ms: rng.range(500, LOAD_MS - 1_000),
+                duration_ms: rng.range(300, 3_000),
+            });
+        }
     }
 
     fn draw_kind(&self, rng: &mut SeededRng) -> FaultKind {
@@ -164,16 +191,12 @@
         }
     }
 
-    /// A silence early enough that what it hides counts as told before the end, and a drain inside it. Where discovery is
-    /// asked its calls are answered: KNOWN-RED.txt lists the others.
+    /// A silence early enough that what it hides counts as told before the end, and a drain inside it.
     fn draw_silence(&mut self, rng: &mut SeededRng) {
         let at_ms = rng.range(700, 2_500);
         let (hanging, failing) = (rng.index(3), rng.index(2));
         self.faults.push(PlannedFault {
-            kind: FaultKind::Silence {
-                hanging: if self.is_push { hanging } else { 0 },
-                failing: if self.is_push { failing } else { 0 },
-            },
+            kind: FaultKind::Silence { hanging, failing },
             at_ms,
             duration_ms: 0,
         });
--- a/crates/router-soak/src/run.rs
+++ b/crates/router-soak/src/run.rs
@@ -41,6 +41,11 @@
 const RESETS: SetFault = |faults, holds| faults.resets = holds;
 const LATE: SetFault = |faults, holds| faults.is_late = holds;
 const LONG_VALUES: SetFault = |faults, holds| faults.has_long_values = holds;
+const PAUSED_VALUES: SetFault = |faults, holds| {
+    faults.has_long_values = holds;
+    faults.has_pauses = holds;
+};
+const VANISHED: SetFault = |faults, holds| faults.has_vanished = holds;
 
 /// What came of a run.
 pub struct SoakReport {
@@ -195,17 +200,28 @@
             FaultKind::Resets(server) => self.impair(&[server], duration, RESETS).await,
             FaultKind::LateConnections(server) => self.impair(&[server], duration, LATE).await,
             FaultKind::LongValues => {
-                let all: Vec<usize> = (0..self.servers.len()).collect();
-                self.impair(&all, duration, LONG_VALUES).await;
+                self.impair(&self.all_servers(), duration, LONG_VALUES)
+                    .await
             }
-            FaultKind::ClientsLeave => {
-                self.clients.are_leaving.set(true);
-                tokio::time::sleep(duration).await;
-                self.clients.are_leaving.set(false);
+            FaultKind::PausedValues => {
+                self.impair(&self.all_servers(), duration, PAUSED_VALUES)
+                    .await;
             }
+            FaultKind::Vanish(server) => {
+                self.impair(&[server], duration, VANISHED).await;
+                self.servers[server].kill();
+                self.restart(server).await;
+            }
+            FaultKind::ClientsLeave => hold(&self.clients.are_leaving, duration).await,
+            FaultKind::LongWrites => hold(&self.clients.write_long_values, duration).await,
+            FaultKind::SlowReaders => hold(&self.clients.read_slowly, duration).await,
         }
     }
 
+    fn all_servers(&self) -> Vec<usize> {
+        (0..self.servers.len()).collect()
+    }
+
     /// Sets a fault of servers, and takes it back.
     async fn impair(&self, servers: &[usize], duration: Duration, set: SetFault) {
         let set_all = |holds| {
@@ -318,6 +334,13 @@
     }
 }
 
+/// Sets a fault of clients, and takes it back.
+async fn hold(fault: &Cell<bool>, duration: Duration) {
+    fault.set(true);
+    tokio::time::sleep(duration).await;
+    fault.set(false);
+}
+
 fn router_configuration(plan: &SoakPlan, discovery: &Discovery) -> Value {
     let effects = [
         ("idempotent", "all"),
--- a/crates/router-soak/src/server.rs
+++ b/crates/router-soak/src/server.rs
@@ -9,6 +9,7 @@
 };
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,8 +22,12 @@
 /// The ratio of reads with a long value while values are long, and of those that are broken off.
 const LONG_VALUE_RATIO: f64 = 0.3;
 const BREAK_RATIO: f64 = 0.3;
+/// Replies beyond this are long, in bytes.
+const LONG_REPLY_BYTES: usize = 65_536;
 /// The longest value, in bytes.
 const MAX_VALUE_BYTES: u64 = 600_000;
+/// How long a value pauses at most, in milliseconds.
+const MAX_PAUSE_MS: u64 = 300;
 /// How late the first command of a late connection is answered at most, in milliseconds.
 const MAX_LATENESS_MS: u64 = 900;
 
@@ -35,6 +40,10 @@
     pub resets: bool,
     pub is_late: bool,
     pub has_long_values: bool,
+    /// Long values pause half-way.
+    pub has_pauses: bool,
+    /// It neither reads nor answers nor closes.
+    pub has_vanished: bool,
 }
 
 /// See the module.
@@ -130,7 +139,11 @@
                     return;
                 }
             }
-            match stream.read(&mut buffer).await {
+            let read = stream.read(&mut buffer).await;
+            if self.faults.get().has_vanished {
+                std::future::pending::<()>().await;
+            }
+            match read {
                 Ok(count @ 1..) => {
                     let bytes = &buffer[..count];
                     self.recorder.passed(guard.connection, Side::Dialer, bytes);
@@ -150,7 +163,7 @@
         is_first: bool,
     ) -> bool {
         let faults = self.faults.get();
-        if faults.hangs {
+        if faults.hangs || faults.has_vanished {
             std::future::pending::<()>().await;
         }
         if is_first && faults.is_late {
@@ -166,7 +179,21 @@
         let is_whole = reply.is_whole;
         self.recorder
             .passed(guard.connection, Side::Listener, &reply.bytes);
-        stream.write_all(&reply.bytes).await.is_ok() && is_whole
+        let is_long = reply.bytes.len() > LONG_REPLY_BYTES;
+        let written = if faults.has_pauses && is_long {
+            self.write_with_pause(stream, &reply.bytes).await
+        } else {
+            stream.write_all(&reply.bytes).await
+        };
+        written.is_ok() && is_whole
+    }
+
+    /// Writes a reply in two parts, with a pause in between.
+    async fn write_with_pause(&self, stream: &mut TcpStream, bytes: &[u8]) -> io::Result<()> {
+        let (first, second) = bytes.split_at(bytes.len() / 2);
+        stream.write_all(first).await?;
+        self.sleep_up_to(MAX_PAUSE_MS).await;
+        stream.write_all(second).await
     }
 
     fn reply(&self, request: &CacheRequest, faults: ServerFaults) -> Reply {
--- a/crates/router-soak/tests/soak.rs
+++ b/crates/router-soak/tests/soak.rs
@@ -1,5 +1,4 @@
-//! Short soaks of the router's real binary with fixed seeds; `tests/soak.sh` plays others. Their plans hold no silence with a
-//! discovery that is asked and down: KNOWN-RED.txt.
+//! Short soaks of the router's real binary with fixed seeds; `tests/soak.sh` plays others.
 
 use router_soak::soak;
 
