A simulated fleet of 100 and 300 routers whose cache servers all start again at once

Cause: the rule on slow start was checked with 3 to 5 routers alone, and with a slack of its own in place of STANDING's.

Change: plans of large fleets, and a checker that allows what STANDING says (N + 2 root N + 2; N + 3 root N + 3 under 30).

--- a/crates/router-simulation/src/deployment.rs
+++ b/crates/router-simulation/src/deployment.rs
@@ -4,7 +4,7 @@
 use crate::fault_plan::{CLASSES, MILLI, SECOND};
 use crate::invariant_checker::{
     CoalescingParameters, DeduplicationScope as CheckedScope, Idempotency as CheckedIdempotency,
-    RuleParameters,
+    OverloadSlack, RuleParameters,
 };
 use load_balancer::deployment::{Deployment, Names};
 use load_balancer::{
@@ -146,7 +146,7 @@
             overload_multiple: self.overload_multiple,
             overload_duration: self.overload_duration,
             window,
-            overload_slack: 0.0,
+            overload_slack: OverloadSlack::Work(0.0),
             coalescing: None,
             crowds_from: u64::MAX,
         }
--- a/crates/router-simulation/src/fault_plan.rs
+++ b/crates/router-simulation/src/fault_plan.rs
@@ -4,6 +4,7 @@
 mod crowds;
 mod draw;
 mod fault;
+mod large_fleet;
 
 pub use crowds::{CROWD_CONNECTION_COUNT, CROWD_READ_COUNT};
 pub use fault::{Fault, FaultKind, OperatorAction, PlannedAction};
--- a/crates/router-simulation/src/fault_plan/draw.rs
+++ b/crates/router-simulation/src/fault_plan/draw.rs
@@ -10,7 +10,7 @@
 use std::ops::Range;
 
 /// Zones of a run.
-const ZONE_COUNT: usize = 3;
+pub(super) const ZONE_COUNT: usize = 3;
 /// By then every fault has ended, restarts that come of it included.
 const FAULTS_END: Time = 6_500 * MILLI;
 /// How long after the last fault watches are back and servers have left slow start.
@@ -82,7 +82,7 @@
     }
 
     /// Draws requests at this rate, in requests a second.
-    fn draw_requests(&mut self, rng: &mut SeededRng, rate: f64) {
+    pub(super) fn draw_requests(&mut self, rng: &mut SeededRng, rate: f64) {
         let keys = KeyPopularity::draw(rng);
         let mut at = REQUESTS_BEGIN as f64;
         while (at as Time) < REQUESTS_END {
--- a/crates/router-simulation/src/invariant_checker.rs
+++ b/crates/router-simulation/src/invariant_checker.rs
@@ -19,8 +19,8 @@
 
 pub use counts::{CalmService, Counts};
 pub use rule::{
-    CoalescingParameters, DeduplicationScope, Idempotency, Rule, RuleParameters, ServerIdentity,
-    Violation,
+    CoalescingParameters, DeduplicationScope, Idempotency, OverloadSlack, Rule, RuleParameters,
+    ServerIdentity, Violation,
 };
 pub use slow_start::ProcessStart;
 
--- a/crates/router-simulation/src/invariant_checker/rule.rs
+++ b/crates/router-simulation/src/invariant_checker/rule.rs
@@ -98,7 +98,7 @@
     /// Bytes that a connection takes without their being read.
     pub window: usize,
     /// Work beyond the overload limit that random arrivals may bring, in microseconds.
-    pub overload_slack: f64,
+    pub overload_slack: OverloadSlack,
     /// Which reads may share an answer; `None`: none may.
     pub coalescing: Option<CoalescingParameters>,
     /// Requests from this id on belong to crowds: a few upstream requests decide over all of a crowd, so these do not
@@ -123,3 +123,30 @@
     /// Number of its zone.
     pub zone: usize,
 }
+
+/// Work beyond the overload limit that a server withstands: requests arrive at random.
+#[derive(Clone, Copy, Debug)]
+pub enum OverloadSlack {
+    /// So many microseconds of work.
+    Work(f64),
+    /// As STANDING has it, by the number N of requests of mean work that the limit allows: twice the root of N and two,
+    /// or three times the root and three where N is under 30.
+    Requests {
+        /// Microseconds of the server's full capacity.
+        mean_work: f64,
+    },
+}
+
+impl OverloadSlack {
+    /// The slack beyond a limit, in microseconds of work.
+    pub(super) fn beyond(self, limit: f64) -> f64 {
+        match self {
+            OverloadSlack::Work(work) => work,
+            OverloadSlack::Requests { mean_work } => {
+                let count = limit / mean_work;
+                let factor = if count < 30.0 { 3.0 } else { 2.0 };
+                (factor * count.sqrt() + factor) * mean_work
+            }
+        }
+    }
+}
--- a/crates/router-simulation/src/invariant_checker/slow_start.rs
+++ b/crates/router-simulation/src/invariant_checker/slow_start.rs
@@ -81,7 +81,8 @@
         let window = parameters.overload_duration;
         let since = self.started_at.max(now.saturating_sub(window));
         let mean_capacity = (self.capacity_ratio(since) + self.capacity_ratio(now)) / 2.0;
-        parameters.overload_multiple * mean_capacity * window as f64 + parameters.overload_slack
+        let limit = parameters.overload_multiple * mean_capacity * window as f64;
+        limit + parameters.overload_slack.beyond(limit)
     }
 
     /// Work arrives from a router; the overload if the process fails under it. `knows_start` tells whether a router
--- a/crates/router-simulation/src/run.rs
+++ b/crates/router-simulation/src/run.rs
@@ -14,7 +14,8 @@
 use crate::fault_plan::{Crowd, RunPlan};
 use crate::fleet::{FleetState, Server};
 use crate::invariant_checker::{
-    CalmService, Counts, InvariantChecker, Role, Rule, RuleParameters, ServerIdentity, Violation,
+    CalmService, Counts, InvariantChecker, OverloadSlack, Role, Rule, RuleParameters,
+    ServerIdentity, Violation,
 };
 use crate::rng::SeededRng;
 use crate::simulation::{Simulation, Subnet, address};
@@ -60,7 +61,24 @@
 /// Carries a plan out to its end, or to the instant at which tasks wake one another without end.
 pub fn simulate(plan: &RunPlan, recording: Recording) -> Report {
     let plan = Rc::new(plan.clone());
-    let run = Run::new(&plan, recording);
+    carry_out(&plan, rule_parameters(&plan), recording)
+}
+
+/// The same, where a server in slow start withstands as much as STANDING says: for large fleets, whose servers are alike.
+pub fn simulate_large_fleet(plan: &RunPlan, recording: Recording) -> Report {
+    let plan = Rc::new(plan.clone());
+    let speed = plan.servers.first().map_or(1.0, |server| server.speed);
+    let parameters = RuleParameters {
+        overload_slack: OverloadSlack::Requests {
+            mean_work: plan.mean_work / speed,
+        },
+        ..rule_parameters(&plan)
+    };
+    carry_out(&plan, parameters, recording)
+}
+
+fn carry_out(plan: &Rc<RunPlan>, parameters: RuleParameters, recording: Recording) -> Report {
+    let run = Run::with_parameters(plan, parameters, recording);
     run.schedule_faults();
     run.schedule_operator_actions();
     run.schedule_requests();
@@ -70,7 +88,7 @@
     } else {
         run.record_violation(Rule::Liveness, "tasks wake one another without end".into());
     }
-    let report = report(&plan, &mut run.simulation.checker.borrow_mut());
+    let report = report(plan, &mut run.simulation.checker.borrow_mut());
     run.simulation.executor.end();
     report
 }
@@ -119,7 +137,7 @@
     let crowd_requests = plan.crowds.iter().flat_map(|crowd| &crowd.requests);
     let crowd_ids = crowd_requests.map(|request| wire::request_id(request.number, 0));
     RuleParameters {
-        overload_slack: OVERLOAD_SLACK_REQUEST_COUNT * plan.mean_work,
+        overload_slack: OverloadSlack::Work(OVERLOAD_SLACK_REQUEST_COUNT * plan.mean_work),
         coalescing: plan.coalescing.then(coalescing_parameters),
         crowds_from: crowd_ids.min().unwrap_or(u64::MAX),
         ..deployment_parameters(plan).rule_parameters(plan.conditions.receive_window)
@@ -149,7 +167,15 @@
 impl Run {
     /// A run at time 0: all processes have started.
     fn new(plan: &Rc<RunPlan>, recording: Recording) -> Rc<Run> {
-        let simulation = new_simulation(plan, recording);
+        Run::with_parameters(plan, rule_parameters(plan), recording)
+    }
+
+    fn with_parameters(
+        plan: &Rc<RunPlan>,
+        parameters: RuleParameters,
+        recording: Recording,
+    ) -> Rc<Run> {
+        let simulation = new_simulation(plan, parameters, recording);
         let fleet = FleetState::new(simulation.clone(), plan.clone());
         let servers = new_servers(plan, &simulation, &fleet);
         let discovery = Discovery::start(
@@ -222,13 +248,9 @@
     }
 }
 
-fn new_simulation(plan: &RunPlan, recording: Recording) -> Simulation {
+fn new_simulation(plan: &RunPlan, parameters: RuleParameters, recording: Recording) -> Simulation {
     let is_recording = recording == Recording::Trace;
-    let mut checker = InvariantChecker::new(
-        rule_parameters(plan),
-        &server_identities(plan),
-        is_recording,
-    );
+    let mut checker = InvariantChecker::new(parameters, &server_identities(plan), is_recording);
     checker.calm = Some(CalmService {
         since: plan.calm_from,
         ..CalmService::default()
--- a/crates/router-soak/src/recorder.rs
+++ b/crates/router-soak/src/recorder.rs
@@ -8,8 +8,8 @@
 use router_simulation::executor::{Node, Time};
 use router_simulation::fault_plan::CLASSES;
 use router_simulation::invariant_checker::{
-    DeduplicationScope, Idempotency, InvariantChecker, Role, Rule, RuleParameters, ServerIdentity,
-    Violation,
+    DeduplicationScope, Idempotency, InvariantChecker, OverloadSlack, Role, Rule, RuleParameters,
+    ServerIdentity, Violation,
 };
 use router_simulation::network::{CloseKind, Observer, Side};
 use std::cell::{Cell, RefCell};
@@ -214,7 +214,7 @@
         overload_multiple: f64::MAX,
         overload_duration: 1,
         window: usize::MAX,
-        overload_slack: f64::MAX,
+        overload_slack: OverloadSlack::Work(f64::MAX),
         coalescing: None,
         crowds_from: u64::MAX,
     }
