Draw hanging calls on simulated runs with a silence

Change: on three in ten of the runs with a silence, the next call of each router hangs, or the next two. Other runs keep their draw.

--- a/crates/router-simulation/src/fault_plan/draw.rs
+++ b/crates/router-simulation/src/fault_plan/draw.rs
@@ -27,6 +27,9 @@
     (0.2, FaultKind::SilentWatches),
 ];
 
+/// How often the calls after a silence hang, as a ratio of the runs with one.
+const HANGING_CALLS_RATIO: f64 = 0.3;
+
 impl RunPlan {
     /// The plan of this seed. Each pair of faults comes once in so many seeds as there are pairs; a third fault, and at
     /// times a fourth, is drawn. Where `allowed_faults` names some, all are drawn from those.
@@ -177,9 +180,25 @@
                 self.faults.push(fault);
             }
         }
+        self.draw_hanging_calls(rng);
         self.faults.sort_by_key(|fault| fault.at);
     }
 
+    /// On part of the runs the calls that follow a silence hang.
+    fn draw_hanging_calls(&mut self, rng: &mut SeededRng) {
+        let is_silence = |fault: &&Fault| fault.kind == FaultKind::SilentWatches;
+        let Some(silence) = self.faults.iter().find(is_silence).cloned() else {
+            return;
+        };
+        if rng.chance(HANGING_CALLS_RATIO) {
+            self.faults.push(Fault {
+                kind: FaultKind::HangingCalls,
+                severity: rng.unit(),
+                ..silence
+            });
+        }
+    }
+
     /// Draws operators' actions: in half of the runs they disable a server, in a third of all they drain a router.
     fn draw_operator_actions(&mut self, rng: &mut SeededRng) {
         let server = OperatorAction::ServerOut(rng.index(self.servers.len()));
--- a/crates/router-simulation/src/fault_plan/fault.rs
+++ b/crates/router-simulation/src/fault_plan/fault.rs
@@ -60,7 +60,11 @@
 
 impl FaultKind {
     /// Kinds that are drawn apart from the pairs.
-    pub const RARE: [FaultKind; 2] = [FaultKind::ConnectsDelayed, FaultKind::SilentWatches];
+    pub const RARE: [FaultKind; 3] = [
+        FaultKind::ConnectsDelayed,
+        FaultKind::SilentWatches,
+        FaultKind::HangingCalls,
+    ];
     /// All other kinds: each pair of them meets.
     pub const ALL: [FaultKind; 21] = [
         FaultKind::FastErrors,
@@ -121,7 +125,6 @@
         FaultKind::ALL
             .into_iter()
             .chain(FaultKind::RARE)
-            .chain([FaultKind::HangingCalls])
             .find(|kind| kind.name() == name)
     }
 }
