Repeat a rejected call within 6 s; only a call that waited tells of an overload

Cause: the first wait after a call that discovery rejected reached 0.75 of ask_within, 7.5 s, and a rejection at once behind one that had waited counted as an overload too. A change counts as told 6 s after discovery can be reached again, so a router could have asked later than that after an outage.

Change: 0.2 to 0.6 of ask_within, 2 to 6 s, evenly by router; rejections at once have the usual back-off (5 s at most).

--- a/crates/load-balancer/src/subscription.rs
+++ b/crates/load-balancer/src/subscription.rs
@@ -1,9 +1,10 @@
 //! When does a router subscribe to the endpoint list, and how soon again after a failure?
 //!
-//! Inputs: updates of the list, the longest time without a poll (µs), this router's
-//! place among the others or a random fraction. Answer: subscribe now, after some time, or not at all. Reason: routers must not poll together, and each must poll well before it counts
-//! as told. Discovery works polls in turn, also those that it gave up meanwhile: where a poll waited in vain, all
-//! routers together have to poll less than it answers, or its queue never becomes short enough for any of them.
+//! Inputs: updates of the list, the longest time without a poll (µs), this router's place among the others or a random
+//! fraction. Answer: subscribe now, after some time, or not at all. Reason: routers must not poll together, and each
+//! must poll well before it counts as told. Discovery works polls in turn, also those that it gave up meanwhile: where a
+//! poll waited in vain, all routers together have to poll less than it answers, or its queue never becomes short enough
+//! for any of them.
 
 use crate::endpoint::EndpointUpdate;
 use crate::random::Random;
@@ -19,9 +20,9 @@
 /// A poll that is rejected after this time has waited in the queue of an overloaded discovery.
 pub(crate) const QUEUED_POLL_WAIT: Micros = Micros::from_millis(1_000);
 /// The first retry after such a poll follows after this ratio of the longest time without a poll at least ...
-const QUEUED_RETRY_RATIO: f64 = 0.25;
+const QUEUED_RETRY_RATIO: f64 = 0.2;
 /// ... and within this ratio more, by the router's place among the others.
-const QUEUED_RETRY_SPREAD_RATIO: f64 = 0.5;
+const QUEUED_RETRY_SPREAD_RATIO: f64 = 0.4;
 /// The wait grows with each such poll, up to this multiple: discovery has time for one poll of each router in between.
 const MAX_QUEUED_RETRY_MULTIPLE: u32 = 2;
 
@@ -66,7 +67,7 @@
     ) -> SubscriptionStep {
         match update {
             EndpointUpdate::Restored => SubscriptionStep::Subscribe,
-            EndpointUpdate::PollRejected { waited } if self.is_overloaded(waited) => {
+            EndpointUpdate::PollRejected { waited } if waited >= QUEUED_POLL_WAIT => {
                 self.count_failure();
                 self.consecutive_queued_polls = self.consecutive_queued_polls.saturating_add(1);
                 SubscriptionStep::RetryAfter(self.queued_retry_after(poll_within, random))
@@ -85,11 +86,6 @@
         }
     }
 
-    /// Whether a poll that was rejected after this time tells of an overload, or follows one that did.
-    fn is_overloaded(&self, waited: Micros) -> bool {
-        waited >= QUEUED_POLL_WAIT || self.consecutive_queued_polls > 0
-    }
-
     fn count_failure(&mut self) {
         *self = Subscription {
             consecutive_failures: self.consecutive_failures.saturating_add(1),
