Log the answer, and the end and the reason, of each call of discovery

Each answered call is now one line with its wait and version, each failed one a line with its wait and cause, at most one in 0.4 s.

--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -29,6 +29,9 @@
 /// The pause between calls in push mode.
 const PUSH_REDIAL_PAUSE: Duration = Duration::from_millis(500);
 
+/// The ends of failed calls are logged at most this often.
+const FAILED_CALL_LOG_INTERVAL: Duration = Duration::from_millis(400);
+
 /// The source of the list of servers, and how it is watched.
 pub struct DiscoveryConfig {
     /// The discovery server.
@@ -53,6 +56,7 @@
     /// The decision library waits for the answer to its subscription or counts as subscribed: a loss is reported to it.
     is_subscribed: Cell<bool>,
     addr_changed: Notify,
+    failed_call_logged_at: Cell<Option<Instant>>,
 }
 
 /// When to call, from one watch to the next.
@@ -98,6 +102,7 @@
             endpoints,
             is_subscribed: Cell::new(false),
             addr_changed: Notify::new(),
+            failed_call_logged_at: Cell::new(None),
         })
     }
 
@@ -271,6 +276,9 @@
         let (discovery, watched) = (self.clone(), progress.clone());
         watches.open(progress, async move {
             let Err(error) = discovery.watch(&watched).await;
+            if !watched.is_answered.get() {
+                discovery.log_failed_call(&watched, &error);
+            }
             error
         });
     }
@@ -295,9 +303,30 @@
         }
     }
 
+    /// Logs the end of a call without an answer, unless the one of another call was logged just before.
+    fn log_failed_call(&self, call: &WatchProgress, error: &WatchError) {
+        let now = self.environment.now();
+        let since = |logged: Instant| now.saturating_duration_since(logged);
+        let last_logged = self.failed_call_logged_at.get();
+        if last_logged.is_some_and(|logged| since(logged) < FAILED_CALL_LOG_INTERVAL) {
+            return;
+        }
+        self.failed_call_logged_at.set(Some(now));
+        let waited = since(call.called_at).as_secs_f64();
+        self.environment.log(format_args!(
+            "discovery call failed after {waited:.3} s: {error}"
+        ));
+    }
+
     /// The call has its answer.
     fn mark_answered(&self, progress: &WatchProgress) {
         if !progress.is_answered.replace(true) {
+            let waited = self.environment.now() - progress.called_at;
+            self.environment.log(format_args!(
+                "discovery answered after {:.3} s, version {}",
+                waited.as_secs_f64(),
+                self.endpoints.version()
+            ));
             self.is_subscribed.set(!self.is_push);
         }
     }
