Bound the waits between calls of discovery below the time that makes a change known

Callers: requests to a draining server up to 8.9 s after discovery answered again, 6.3 s are allowed. Cause: each poll that an overloaded discovery rejected after a wait doubled the next wait, 2 to 6 s and then 4 to 12 s; polls that failed at once waited up to 5 s. Now 2.9 to 3.4 s after a queued poll, at most 1 s (2 s over 20 routers) after a quick failure: with the longest call, 2.5 s, below 6 s. After six queued polls on end, over half a minute, the long waits follow, or a jam never ends (the_slowest_discovery_recovers). The library test that wanted the second wait over 4 s held the fault; it now bounds each wait from both sides. Test red before (43 late requests), green now.

--- a/crates/load-balancer/src/router.rs
+++ b/crates/load-balancer/src/router.rs
@@ -103,7 +103,7 @@
             stale_connections: StaleConnections::new(),
             idle_connections: IdleConnectionLifetime::new(),
             shortest_objective,
-            subscription: Subscription::new(settings.router_place),
+            subscription: Subscription::new(settings.router_place, settings.routers),
             settings,
         })
     }
--- a/crates/load-balancer/src/silent_watch.rs
+++ b/crates/load-balancer/src/silent_watch.rs
@@ -17,7 +17,7 @@
 /// The routers of a small fleet call in turn, this far apart.
 const SMALL_FLEET_STEP: Micros = Micros::from_millis(80);
 /// A fleet of so many routers is small: two calls of each fit in before what the watches missed counts as known.
-const SMALL_FLEET_COUNT: u32 = 20;
+pub(crate) const SMALL_FLEET_COUNT: u32 = 20;
 /// Between calls beside those that wait. Two that hang leave time for a third.
 const CALL_INTERVAL: Micros = Micros::from_millis(1_100);
 
--- a/crates/load-balancer/src/subscription.rs
+++ b/crates/load-balancer/src/subscription.rs
@@ -1,13 +1,14 @@
 //! When does a router subscribe to the endpoint list, and how soon again after a failure?
 //!
-//! Inputs: updates of the list, the longest time without a poll (µs), this router's place among the others or a random
-//! fraction. Answer: subscribe now, after some time, or not at all. Reason: routers must not poll together, and each
-//! must poll well before it counts as told. Discovery works polls in turn, also those that it gave up meanwhile: where a
-//! poll waited in vain, all routers together have to poll less than it answers, or its queue never becomes short enough
-//! for any of them.
+//! Inputs: updates of the list, the longest time without a poll (µs), the number of routers, this router's place among
+//! them or a random fraction. Answer: subscribe now, after some time, or not at all. Reason: routers must not poll
+//! together, but what discovery has counts as known 6 s after it can be reached: the longest wait and the longest call
+//! together stay below that, however many polls have failed. Discovery works polls in turn, also those that it gave up
+//! meanwhile: a poll that waited in vain is followed by a longer wait than one that failed at once, and by no other beside it.
 
 use crate::endpoint::EndpointUpdate;
 use crate::random::Random;
+use crate::silent_watch::SMALL_FLEET_COUNT;
 use crate::time::Micros;
 
 /// The first retry follows within this ratio of the longest time without a poll, doubled by each further failure.
@@ -16,15 +17,26 @@
 const MAX_RETRY_RATIO: f64 = 0.5;
 /// Doublings after which the ratio is past its bound anyway.
 const MAX_DOUBLING_COUNT: u32 = 4;
+/// The longest wait after a poll that failed at once, in a small fleet: time for several more within the 6 s.
+const SMALL_FLEET_MAX_RETRY_WAIT: Micros = Micros::from_millis(1_000);
+/// The same in a large fleet, whose polls are to be apart.
+const LARGE_FLEET_MAX_RETRY_WAIT: Micros = Micros::from_millis(2_000);
 
 /// A poll that is rejected after this time has waited in the queue of an overloaded discovery.
 pub(crate) const QUEUED_POLL_WAIT: Micros = Micros::from_millis(1_000);
-/// The first retry after such a poll follows after this ratio of the longest time without a poll at least ...
-const QUEUED_RETRY_RATIO: f64 = 0.2;
-/// ... and within this ratio more, by the router's place among the others.
-const QUEUED_RETRY_SPREAD_RATIO: f64 = 0.4;
-/// The wait grows with each such poll, up to this multiple: discovery has time for one poll of each router in between.
-const MAX_QUEUED_RETRY_MULTIPLE: u32 = 2;
+/// The retry after such a poll follows after this ratio of the longest time without a poll at least, ...
+const QUEUED_RETRY_RATIO: f64 = 0.29;
+/// ... this time at the longest, ...
+const MAX_QUEUED_RETRY_WAIT: Micros = Micros::from_millis(2_900);
+/// ... and within this part of it more, by the router's place among the others.
+const QUEUED_RETRY_SPREAD: f64 = 0.17;
+/// After so many such polls on end, over half a minute, the routers' own polls keep discovery overloaded: more than it
+/// answers. No wait below the 6 s ends that.
+const OVERLOAD_POLL_COUNT: u32 = 6;
+/// From then on the retries of all routers spread from this ratio of the longest time without a poll ...
+const OVERLOAD_RETRY_RATIO: f64 = 0.4;
+/// ... over this ratio more.
+const OVERLOAD_RETRY_SPREAD_RATIO: f64 = 0.8;
 
 /// What follows from an update.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -42,6 +54,7 @@
 pub(crate) struct Subscription {
     /// This router's place among the others, from 0 to 1; `None`: by chance.
     place: Option<f64>,
+    routers: u32,
     is_subscribed: bool,
     is_requested: bool,
     consecutive_failures: u32,
@@ -50,10 +63,11 @@
 }
 
 impl Subscription {
-    /// Before the first poll; `place` is this router's among the others, from 0 to 1, if it is known.
-    pub fn new(place: Option<f64>) -> Subscription {
+    /// Before the first poll of one of `routers` routers; `place` is this one's among them, from 0 to 1, if it is known.
+    pub fn new(place: Option<f64>, routers: u32) -> Subscription {
         Subscription {
             place,
+            routers,
             ..Subscription::default()
         }
     }
@@ -79,7 +93,7 @@
             EndpointUpdate::Delta | EndpointUpdate::Snapshot => {
                 *self = Subscription {
                     is_subscribed: true,
-                    ..Subscription::new(self.place)
+                    ..Subscription::new(self.place, self.routers)
                 };
                 SubscriptionStep::None
             }
@@ -90,24 +104,45 @@
         *self = Subscription {
             consecutive_failures: self.consecutive_failures.saturating_add(1),
             consecutive_queued_polls: self.consecutive_queued_polls,
-            ..Subscription::new(self.place)
+            ..Subscription::new(self.place, self.routers)
         };
     }
 
-    /// The backoff after a poll that waited in vain: evenly apart by router, as all may have failed at once.
+    /// The wait after a poll that waited in vain: evenly apart by router, as all may have failed at once.
     fn queued_retry_after(&self, poll_within: Micros, random: &mut Random) -> Micros {
         let place = self.place.unwrap_or_else(|| random.next_fraction());
-        let ratio = QUEUED_RETRY_RATIO + QUEUED_RETRY_SPREAD_RATIO * place;
-        let multiple = self.consecutive_queued_polls.min(MAX_QUEUED_RETRY_MULTIPLE);
-        poll_within.scaled(ratio * f64::from(multiple))
+        if self.keeps_discovery_overloaded() {
+            let ratio = OVERLOAD_RETRY_RATIO + OVERLOAD_RETRY_SPREAD_RATIO * place;
+            return poll_within.scaled(ratio);
+        }
+        let shortest = poll_within
+            .scaled(QUEUED_RETRY_RATIO)
+            .min(MAX_QUEUED_RETRY_WAIT);
+        shortest.scaled(1.0 + QUEUED_RETRY_SPREAD * place)
+    }
+
+    fn keeps_discovery_overloaded(&self) -> bool {
+        self.consecutive_queued_polls >= OVERLOAD_POLL_COUNT
     }
 
     /// Exponential backoff with jitter.
     fn retry_after(&self, poll_within: Micros, random: &mut Random) -> Micros {
+        if self.keeps_discovery_overloaded() {
+            return self.queued_retry_after(poll_within, random);
+        }
         let doublings = self.consecutive_failures.min(MAX_DOUBLING_COUNT);
         let ratio = (FIRST_RETRY_RATIO * f64::from(1_u32 << doublings)).min(MAX_RETRY_RATIO);
         let jitter = 0.5 + 0.5 * random.next_fraction();
-        poll_within.scaled(ratio * jitter)
+        let longest = poll_within.scaled(ratio).min(self.max_retry_wait());
+        longest.scaled(jitter)
+    }
+
+    fn max_retry_wait(&self) -> Micros {
+        if self.routers > SMALL_FLEET_COUNT {
+            LARGE_FLEET_MAX_RETRY_WAIT
+        } else {
+            SMALL_FLEET_MAX_RETRY_WAIT
+        }
     }
 
     /// Whether to subscribe now: not while subscribed or while a call is under way. Marks the call as under way.
