Late data on a silent watch does not end its replacement

Cause: one empty line, late, put the silent watch back in service: the calls that were to replace it were dropped and the clock of silence began anew (watch.rs cleared is_silent). Now it stays silent until a call is answered; what it brings is still applied.

--- a/crates/router-runtime/src/discovery/watch.rs
+++ b/crates/router-runtime/src/discovery/watch.rs
@@ -73,7 +73,7 @@
                 .next_frame(&mut body, progress, last_data_at, call)
                 .await?
             else {
-                // It may still bring data, before another call is answered.
+                // What it still brings is applied, but it is broken: another call is to replace it.
                 progress.is_silent.set(true);
                 continue;
             };
@@ -86,7 +86,6 @@
             let is_data = has_list || !lists.is_midway() || !data.trim_ascii().is_empty();
             if is_data {
                 last_data_at = self.environment.now();
-                progress.is_silent.set(false);
             }
         }
     }
--- a/crates/router-runtime/src/discovery/watch_set.rs
+++ b/crates/router-runtime/src/discovery/watch_set.rs
@@ -1,5 +1,5 @@
 //! The watches that are open at once: the one in service and, once that has fallen silent, the calls that are to replace
-//! it. The first that brings data is the one in service, and the others are closed.
+//! it. The first call that is answered is the watch in service, and the others are closed.
 
 use super::error::WatchError;
 use load_balancer::Micros;
@@ -16,7 +16,7 @@
     pub called_at: Instant,
     /// The call has its answer.
     pub is_answered: Cell<bool>,
-    /// The watch brings nothing, for longer than it may.
+    /// The watch has brought nothing for longer than it may: from then on it is broken, whatever it still brings.
     pub is_silent: Cell<bool>,
 }
 
@@ -72,7 +72,7 @@
 
 /// What has happened to the watches.
 pub(super) enum WatchEvent {
-    /// A watch is in service: its call is answered, or it has brought data after all.
+    /// A watch is in service: its call is answered.
     InService,
     /// The watch in service has fallen silent.
     Silent,
