Calls after a new configuration start afresh and are repeated every 0.2 s at most

Cause: the pause between calls that discovery turned away at once doubled (0.1, 0.2 ... 1.6 s), so that the last one came 3.2 s after the configuration and then waited up to 2 s in the queue; a call rejected late in an outage before kept the router from calling beside one that hangs, at the new address too; and after 3.5 s the wait that the outage had begun went on. Now the pause is at most 0.2 s (0.4 s over 20 routers), a new configuration forgets what was learnt before, and the decision library hears of each loss. How long and how often calls are repeated is decided in silent_watch.rs of the library; three constants of the runtime are gone.

--- a/crates/cache-router/tests/silent_watches.rs
+++ b/crates/cache-router/tests/silent_watches.rs
@@ -60,8 +60,11 @@
     discovery.set_initial_list(drained.clone());
     let next_discovery = Discovery::start(drained);
     if faults.has_late_line {
-        thread::sleep(LATE_LINE_AFTER);
-        discovery.write_to_watch("\n");
+        let discovery = discovery.clone();
+        thread::spawn(move || {
+            thread::sleep(LATE_LINE_AFTER);
+            discovery.write_to_watch("\n");
+        });
     }
     if faults.moves {
         thread::sleep(Duration::from_secs(2));
@@ -146,9 +149,9 @@
     assert_none_late("automatic", faulty_calls().chain(calls_without_faults()));
 }
 
-/// One and two calls that hang, while the silent watch brings late data.
-fn late_data() -> [CallFaults; 2] {
-    [1, 2].map(|hanging| CallFaults {
+/// So many calls hang, while the silent watch brings late data.
+fn late_data(hanging: [usize; 2]) -> [CallFaults; 2] {
+    hanging.map(|hanging| CallFaults {
         hanging,
         has_late_line: true,
         ..NO_FAULTS
@@ -158,11 +161,11 @@
 /// Guards against a silent watch that counts as in service again when late data comes, and drops the calls to replace it.
 #[test]
 fn late_data_on_a_silent_watch_does_not_end_its_replacement_where_discovery_is_asked() {
-    assert_none_late("subscribe", late_data());
+    assert_none_late("subscribe", late_data([1, 2]));
 }
 
 /// The same where an agent pushes lists.
 #[test]
 fn late_data_on_a_silent_watch_does_not_end_its_replacement_where_lists_are_pushed() {
-    assert_none_late("automatic", late_data());
+    assert_none_late("automatic", late_data([8, 14]));
 }
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -101,6 +101,6 @@
     CacheMode, Class, ConnectionCosts, DeduplicationScope, DiscoveryMode, Idempotency, Limits,
     Rules, Settings, SettingsError, Tenant, Weights,
 };
-pub use silent_watch::SilentWatchPolicy;
+pub use silent_watch::{RepeatedCalls, SilentWatchPolicy};
 pub use time::Micros;
 pub use warm_state::WarmState;
--- a/crates/load-balancer/src/silent_watch.rs
+++ b/crates/load-balancer/src/silent_watch.rs
@@ -1,8 +1,11 @@
-//! When does a watch on the endpoint list count as silent, and is discovery called beside a call that waits?
+//! When does a watch on the endpoint list count as silent, is discovery called beside a call that waits, and how soon
+//! is a call repeated that failed?
 //!
 //! Inputs: how the list comes, how many routers there are, this router's place among them (0 to 1). Answer: the longest
-//! time without data (µs), and the interval between calls. Reason: what a silent watch misses counts as known 6 s after
-//! the silence began, but discovery that is asked works calls of all routers in turn: all watches may fall silent at once.
+//! time without data (µs), the interval between calls, the pauses between repeated ones and for how long they are
+//! repeated so. Reason: what a silent watch misses counts as known 6 s after the silence began, what follows a new
+//! configuration 4 s after it, but discovery that is asked works calls of all routers in turn: all may call at once. An
+//! agent that pushes lists is this router's alone, and what it has counts as known at once: it is called without end.
 
 use crate::settings::DiscoveryMode;
 use crate::subscription::QUEUED_POLL_WAIT;
@@ -20,12 +23,40 @@
 pub(crate) const SMALL_FLEET_COUNT: u32 = 20;
 /// Between calls beside those that wait. Two that hang leave time for a third.
 const CALL_INTERVAL: Micros = Micros::from_millis(1_100);
+/// The same for an agent, which answers at once: one that hangs leaves time for another within the grace of a drain.
+const PUSH_CALL_INTERVAL: Micros = Micros::from_millis(1_100);
+
+/// Calls of discovery are repeated fast for this long; the waits of the subscription follow.
+const FAST_CALL_TIME: Micros = Micros::from_millis(3_500);
+/// The pause before the first repeated call; it doubles with each.
+const FIRST_CALL_PAUSE: Micros = Micros::from_millis(100);
+/// The longest pause in a small fleet: a call may be turned away several times and wait for 2 s then, all within 4 s.
+const SMALL_FLEET_MAX_CALL_PAUSE: Micros = Micros::from_millis(200);
+/// The longest pause in a large fleet.
+const LARGE_FLEET_MAX_CALL_PAUSE: Micros = Micros::from_millis(400);
+/// The pause before an agent is called again; it doubles with each call.
+const PUSH_FIRST_CALL_PAUSE: Micros = Micros::from_millis(500);
+/// The longest pause where an agent pushes lists: well within the grace of a drain.
+const PUSH_MAX_CALL_PAUSE: Micros = Micros::from_millis(500);
+
+/// How calls are repeated that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RepeatedCalls {
+    /// For how long they are repeated; `None`: without end.
+    pub lasts: Option<Micros>,
+    /// The pause before the first one; it doubles with each.
+    pub first_pause: Micros,
+    /// The longest pause.
+    pub max_pause: Micros,
+}
 
 /// How a router treats a watch that brings no data.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SilentWatchPolicy {
     /// A watch without data for this long is silent: discovery is called.
     pub silence_limit: Micros,
+    /// How calls are repeated that failed.
+    pub repeated_calls: RepeatedCalls,
     /// Between calls beside those that wait, while discovery is not known to be overloaded.
     call_interval: Option<Micros>,
 }
@@ -36,18 +67,30 @@
         if mode == DiscoveryMode::Push {
             return SilentWatchPolicy {
                 silence_limit: SHORT_SILENCE,
-                call_interval: Some(CALL_INTERVAL),
+                repeated_calls: RepeatedCalls {
+                    lasts: None,
+                    first_pause: PUSH_FIRST_CALL_PAUSE,
+                    max_pause: PUSH_MAX_CALL_PAUSE,
+                },
+                call_interval: Some(PUSH_CALL_INTERVAL),
             };
         }
+        let asked_calls = |max_pause| RepeatedCalls {
+            lasts: Some(FAST_CALL_TIME),
+            first_pause: FIRST_CALL_PAUSE,
+            max_pause,
+        };
         if routers > SMALL_FLEET_COUNT {
             return SilentWatchPolicy {
                 silence_limit: LONG_SILENCE.plus(LARGE_FLEET_SPREAD.scaled(place)),
+                repeated_calls: asked_calls(LARGE_FLEET_MAX_CALL_PAUSE),
                 call_interval: None,
             };
         }
         let spread = SMALL_FLEET_STEP.scaled(f64::from(routers.max(1)));
         SilentWatchPolicy {
             silence_limit: SHORT_SILENCE.plus(spread.scaled(place)),
+            repeated_calls: asked_calls(SMALL_FLEET_MAX_CALL_PAUSE),
             call_interval: Some(CALL_INTERVAL),
         }
     }
--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -1,7 +1,7 @@
 //! Discovery: keeps a watch on the list of servers, and calls again when it is lost.
 //!
-//! In subscription mode the decision library asks for each call and backs off between calls; in push mode the lists
-//! are sent without a subscription. It relies on one thread: no borrow crosses an await.
+//! In subscription mode the decision library asks for calls and says how long to wait between them; in push mode the agent
+//! that has the lists is called at once, again and again. It relies on one thread: no borrow crosses an await.
 
 mod endpoint_table;
 mod error;
@@ -17,7 +17,7 @@
 use endpoint_table::EndpointTable;
 use error::WatchError;
 use load_balancer::deployment::Names;
-use load_balancer::{EndpointUpdate, Micros, SilentWatchPolicy};
+use load_balancer::{EndpointUpdate, Micros, RepeatedCalls, SilentWatchPolicy};
 use reopening::{FastRetry, Reopening};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -26,9 +26,6 @@
 use tokio::sync::Notify;
 use watch_set::{LostWatch, WatchEvent, WatchProgress, WatchSet};
 
-/// The pause between calls in push mode.
-const PUSH_REDIAL_PAUSE: Duration = Duration::from_millis(500);
-
 /// The ends of failed calls are logged at most this often.
 const FAILED_CALL_LOG_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -53,8 +50,6 @@
     dispatcher: Rc<Dispatcher<E>>,
     upstream: Rc<UpstreamPools<E>>,
     endpoints: Rc<EndpointTable<E>>,
-    /// The decision library waits for the answer to its subscription or counts as subscribed: a loss is reported to it.
-    is_subscribed: Cell<bool>,
     addr_changed: Notify,
     failed_call_logged_at: Cell<Option<Instant>>,
 }
@@ -65,6 +60,8 @@
     fast_retry: Option<FastRetry>,
     /// When to call without a subscription.
     next_call: Option<Instant>,
+    /// When discovery was called last.
+    last_call: Option<Instant>,
     /// A watch was lost before.
     has_lost: bool,
     /// The longest that a call has waited since the last answer before discovery turned it away.
@@ -72,9 +69,11 @@
 }
 
 impl CallSchedule {
-    fn call_now(&mut self, now: Instant) {
-        self.fast_retry = Some(FastRetry::from(now));
+    /// Calls at once. What was learnt of another discovery, or in an outage of this one, is forgotten.
+    fn call_now(&mut self, now: Instant, calls: RepeatedCalls) {
+        self.fast_retry = Some(FastRetry::from(now, calls));
         self.next_call = Some(now);
+        self.rejected_after = None;
     }
 }
 
@@ -100,7 +99,6 @@
             dispatcher,
             upstream,
             endpoints,
-            is_subscribed: Cell::new(false),
             addr_changed: Notify::new(),
             failed_call_logged_at: Cell::new(None),
         })
@@ -132,26 +130,32 @@
     /// process runs.
     pub async fn run(self: Rc<Self>) {
         let mut schedule = CallSchedule::default();
+        if self.is_push {
+            self.call_now(&mut schedule);
+        }
         loop {
             self.until_call(&mut schedule).await;
             match self.watch_until_moved(&mut schedule).await {
-                None => schedule.call_now(self.environment.now()),
+                None => self.call_now(&mut schedule),
                 Some(lost) => self.watch_lost(&lost, &mut schedule),
             }
         }
     }
 
+    fn call_now(&self, schedule: &mut CallSchedule) {
+        schedule.call_now(self.environment.now(), self.silent_watch.repeated_calls);
+    }
+
     /// Returns when the next call is to be made.
     async fn until_call(&self, schedule: &mut CallSchedule) {
         loop {
             tokio::select! {
                 biased;
                 () = self.addr_changed.notified() => {
-                    schedule.fast_retry = Some(FastRetry::from(self.environment.now()));
+                    self.call_now(schedule);
                     return;
                 }
                 () = self.dispatcher.subscription_wanted() => {
-                    self.is_subscribed.set(true);
                     if schedule.next_call.is_none() {
                         return;
                     }
@@ -165,7 +169,6 @@
     async fn next_call(&self, next_call: Option<Instant>) {
         match next_call {
             Some(at) => self.environment.sleep_until(at).await,
-            None if self.is_push => self.environment.sleep(PUSH_REDIAL_PAUSE).await,
             None => std::future::pending().await,
         }
     }
@@ -189,17 +192,25 @@
             Some(fast_retry) if lost.failed_call.is_some() => {
                 fast_retry.next(self.environment.now())
             }
+            _ if self.is_push => Some(self.call_after_lost_watch(schedule)),
             _ => None,
         };
         if schedule.next_call.is_none() {
             schedule.fast_retry = None;
-            if self.is_subscribed.replace(false) {
-                let update = self.update_of_loss(lost);
-                self.dispatcher.endpoints_changed(update, Vec::new());
-            }
+            let update = self.update_of_loss(lost);
+            self.dispatcher.endpoints_changed(update, Vec::new());
         }
     }
 
+    /// When to call the agent after the loss of a watch: at once, unless watches keep ending.
+    fn call_after_lost_watch(&self, schedule: &mut CallSchedule) -> Instant {
+        let now = self.environment.now();
+        let calls = self.silent_watch.repeated_calls;
+        schedule.fast_retry = Some(FastRetry::from(now, calls));
+        let earliest = |last_call| last_call + duration(calls.max_pause);
+        schedule.last_call.map_or(now, earliest).max(now)
+    }
+
     /// What the decision library is told of a loss.
     fn update_of_loss(&self, lost: &LostWatch) -> EndpointUpdate {
         match lost.rejected_after(self.environment.now()) {
@@ -212,9 +223,11 @@
     /// silent, stays open beside the calls that are to replace it.
     async fn watch_until_moved(self: &Rc<Self>, schedule: &mut CallSchedule) -> Option<LostWatch> {
         let mut watches = WatchSet::default();
-        let first_call =
-            Reopening::beside_call(self.environment.now(), self.call_interval(schedule));
+        let calls = self.silent_watch.repeated_calls;
+        let now = self.environment.now();
+        let first_call = Reopening::beside_call(now, self.call_interval(schedule), calls);
         let mut reopening = Some(first_call);
+        schedule.last_call = Some(now);
         self.open_watch(&mut watches);
         loop {
             let next_call = reopening.as_ref().and_then(Reopening::next_call);
@@ -223,7 +236,7 @@
                 biased;
                 () = self.addr_changed.notified() => return None,
                 // A subscription during a call that it did not cause: the first line answers both.
-                () = self.dispatcher.subscription_wanted() => self.is_subscribed.set(true),
+                () = self.dispatcher.subscription_wanted() => {}
                 event = watches.next() => match event {
                     WatchEvent::InService => {
                         schedule.rejected_after = None;
@@ -233,7 +246,7 @@
                         self.log_loss(&self.silent_watch(None), schedule);
                         let now = self.environment.now();
                         let call_interval = self.call_interval(schedule);
-                        reopening = Some(Reopening::of_silent_watch(now, call_interval));
+                        reopening = Some(Reopening::of_silent_watch(now, call_interval, calls));
                     }
                     WatchEvent::Lost(lost) => {
                         let now = self.environment.now();
@@ -327,7 +340,6 @@
                 waited.as_secs_f64(),
                 self.endpoints.version()
             ));
-            self.is_subscribed.set(!self.is_push);
         }
     }
 }
--- a/crates/router-runtime/src/discovery/reopening.rs
+++ b/crates/router-runtime/src/discovery/reopening.rs
@@ -1,36 +1,36 @@
-//! When to call discovery while a watch is silent, and after a new configuration.
+//! When to call discovery while a watch is silent, after a new configuration, and where an agent pushes lists.
 //!
-//! What a silent watch misses counts as told 6 s after it fell silent. Calls are made until one is answered, at an interval
-//! beside those that wait, or once alone, as the decision library's policy of silent watches says; its back-off follows.
+//! Calls are made until one is answered, at an interval beside those that wait, or once alone, and repeated after pauses,
+//! as the decision library's policy of silent watches says; its back-off follows where the repeats have an end.
 
 use super::watch_set::LostWatch;
+use crate::clock::duration;
+use load_balancer::RepeatedCalls;
 use std::time::{Duration, Instant};
 
-/// Calls are repeated fast for this long: the decision library's own back-off may be longer than the time that is left.
-const FAST_RETRY_WINDOW: Duration = Duration::from_millis(3_500);
-/// The pause before the first repeated call; it doubles with each.
-const FAST_RETRY_PAUSE: Duration = Duration::from_millis(100);
-
-/// The time in which failed calls are repeated fast.
+/// Calls that failed, repeated fast.
 pub(super) struct FastRetry {
-    until: Instant,
+    /// `None`: without end.
+    until: Option<Instant>,
     pause: Duration,
+    max_pause: Duration,
 }
 
 impl FastRetry {
-    /// The calls that follow a new configuration.
-    pub fn from(now: Instant) -> FastRetry {
+    /// The calls that follow from now on.
+    pub fn from(now: Instant, calls: RepeatedCalls) -> FastRetry {
         FastRetry {
-            until: now + FAST_RETRY_WINDOW,
-            pause: FAST_RETRY_PAUSE,
+            until: calls.lasts.map(|lasts| now + duration(lasts)),
+            pause: duration(calls.first_pause),
+            max_pause: duration(calls.max_pause),
         }
     }
 
-    /// When to call again after a failed call; `None` once the window is over.
+    /// When to call again after a failed call; `None` once their time is over.
     pub fn next(&mut self, now: Instant) -> Option<Instant> {
         let at = now + self.pause;
-        self.pause *= 2;
-        (at < self.until).then_some(at)
+        self.pause = (self.pause * 2).min(self.max_pause);
+        self.until.is_none_or(|until| at < until).then_some(at)
     }
 }
 
@@ -38,8 +38,8 @@
 pub(super) struct Reopening {
     /// Between calls beside those that wait; `None`: one call is made and no other.
     call_interval: Option<Duration>,
-    /// No more calls are made from then on.
-    until: Instant,
+    /// No more calls are made from then on; `None`: without end.
+    until: Option<Instant>,
     /// Failed calls are repeated; `None` while no watch is silent.
     retry: Option<FastRetry>,
     /// When the next call is due; `None`: no more are made.
@@ -50,10 +50,14 @@
 
 impl Reopening {
     /// The first call for a watch is made.
-    pub fn beside_call(now: Instant, call_interval: Option<Duration>) -> Reopening {
+    pub fn beside_call(
+        now: Instant,
+        call_interval: Option<Duration>,
+        calls: RepeatedCalls,
+    ) -> Reopening {
         Reopening {
             call_interval,
-            until: now + FAST_RETRY_WINDOW,
+            until: calls.lasts.map(|lasts| now + duration(lasts)),
             retry: None,
             next_call: call_interval.map(|interval| now + interval),
             rejected_call: None,
@@ -61,11 +65,15 @@
     }
 
     /// The watch has fallen silent: the first call is due.
-    pub fn of_silent_watch(now: Instant, call_interval: Option<Duration>) -> Reopening {
+    pub fn of_silent_watch(
+        now: Instant,
+        call_interval: Option<Duration>,
+        calls: RepeatedCalls,
+    ) -> Reopening {
         Reopening {
-            retry: Some(FastRetry::from(now)),
+            retry: Some(FastRetry::from(now, calls)),
             next_call: Some(now),
-            ..Reopening::beside_call(now, call_interval)
+            ..Reopening::beside_call(now, call_interval, calls)
         }
     }
 
@@ -87,7 +95,8 @@
     /// A call is made.
     pub fn called(&mut self, now: Instant) {
         let next = self.call_interval.map(|interval| now + interval);
-        self.next_call = next.filter(|next| *next < self.until);
+        let is_wanted = |next: &Instant| self.until.is_none_or(|until| *next < until);
+        self.next_call = next.filter(is_wanted);
     }
 
     /// A call has failed, or a watch has ended. From now on calls are made at this interval; `None`: no more are made.
