The slow start of a new process is a span of this process's time, whatever wall clocks say

Callers: a cache server whose start the list dates an hour ahead got none of the requests for that hour (5 s ahead: none for 6 s), one dated an hour back its full share at once, without slow start. Cause: slow_start.rs subtracted the list's wall time from a clock set to wall time once, at the process's start; an operator's EnabledAt of another process likewise. Now a process that discovery tells of as news starts when it is told, and at most 1 s of the age that the list gives is believed (lists come late); no start lies in the future. Of servers in the first list after this process's own start the list's age is all there is.

--- a/crates/load-balancer/src/admin_overrides.rs
+++ b/crates/load-balancer/src/admin_overrides.rs
@@ -46,6 +46,8 @@
     /// Puts a server back into service at `at`. False if that changes nothing: the server is not disabled, and this is
     /// not the report of another process which heard of it earlier.
     pub fn enable(&mut self, server: ServerId, at: Micros, now: Micros) -> bool {
+        // The clock of another process may run ahead.
+        let at = at.min(now);
         let is_reported_later = at < now && at > self.enabled_at(&server);
         let is_change = self.is_disabled(&server) || is_reported_later;
         if is_change {
--- a/crates/load-balancer/src/router.rs
+++ b/crates/load-balancer/src/router.rs
@@ -63,6 +63,8 @@
     /// The tightest latency objective of all classes.
     pub(crate) shortest_objective: Micros,
     subscription: Subscription,
+    /// Discovery has told a list: what it tells next is news.
+    has_discovery_list: bool,
 }
 
 impl Router {
@@ -104,6 +106,7 @@
             idle_connections: IdleConnectionLifetime::new(),
             shortest_objective,
             subscription: Subscription::new(settings.router_place, settings.routers),
+            has_discovery_list: false,
             settings,
         })
     }
--- a/crates/load-balancer/src/router/fleet.rs
+++ b/crates/load-balancer/src/router/fleet.rs
@@ -8,6 +8,7 @@
 use crate::ring::{RingPoint, server_positions};
 use crate::server_table::Server;
 use crate::settings::{CacheMode, DiscoveryMode};
+use crate::slow_start::start_of_process;
 use crate::subscription::SubscriptionStep;
 use crate::time::Micros;
 use crate::timer::TimerPurpose;
@@ -24,6 +25,8 @@
         for endpoint in endpoints {
             self.on_endpoint(endpoint);
         }
+        self.has_discovery_list |=
+            matches!(update, EndpointUpdate::Delta | EndpointUpdate::Snapshot);
         self.on_availability_changed();
         if let DiscoveryMode::Subscribe { poll_within } = self.settings.discovery {
             self.on_subscription_update(update, poll_within);
@@ -55,6 +58,8 @@
         };
         let limit = ConcurrencyLimit::new(0, self.initial_limit);
         let mut server = Server::new(endpoint, ring_positions, limit);
+        server.started_at =
+            start_of_process(server.endpoint.started, self.now, self.has_discovery_list);
         server.is_origin = is_origin;
         // Routers that hear of it together do not all send at once.
         server.slow_start_credit = self.random.next_fraction();
--- a/crates/load-balancer/src/server_table.rs
+++ b/crates/load-balancer/src/server_table.rs
@@ -23,6 +23,8 @@
 #[derive(Debug)]
 pub(crate) struct Server {
     pub endpoint: Endpoint,
+    /// When it started, on this process's clock; zero for long ago.
+    pub started_at: Micros,
     /// Its ring positions; none for an origin.
     pub ring_positions: Vec<u32>,
     pub is_origin: bool,
@@ -48,6 +50,7 @@
     /// A process without observations.
     pub fn new(endpoint: Endpoint, ring_positions: Vec<u32>, limit: ConcurrencyLimit) -> Server {
         Server {
+            started_at: endpoint.started,
             endpoint,
             ring_positions,
             is_origin: false,
--- a/crates/load-balancer/src/slow_start.rs
+++ b/crates/load-balancer/src/slow_start.rs
@@ -1,6 +1,7 @@
 //! How much of its full load may a server take that warms up?
 //!
-//! Inputs: when its process started or may have restarted (µs), when it was last sent a request (µs), the rules.
+//! Inputs: when its process started or may have restarted (µs of this process's clock), when it was last sent a request
+//! (µs), the rules.
 //! Answer: its progress and the fraction of its capacity, 0 to 1, and whether it may be sent one more request.
 //! Reason: a server with cold caches fails under its full share, and many routers together overload it
 //! before any of them hears that it is slow.
@@ -13,10 +14,28 @@
 /// All routers together send at most this ratio of the work that overloads a server which warms up.
 const SAFE_WORK_RATIO: f64 = 0.75;
 
+/// So much of the age that a list gives a process it has just told of is believed: lists come late by so much, and the
+/// clocks of two machines may be further apart.
+const MAX_BELIEVED_AGE: Micros = Micros::from_millis(1_000);
+
+/// When a process of a server started, on this process's clock; zero for long ago. `listed`: as the list says, whose clock
+/// may be another one. `is_news`: the list before did not have this process.
+pub(crate) fn start_of_process(listed: Micros, told_at: Micros, is_news: bool) -> Micros {
+    if listed == Micros(0) {
+        return listed;
+    }
+    let earliest = if is_news {
+        told_at.since(MAX_BELIEVED_AGE)
+    } else {
+        Micros(0)
+    };
+    listed.max(earliest).min(told_at)
+}
+
 impl Server {
     /// How much of its slow start is over: 1 once `slow_start_duration` has passed since its start.
     pub fn slow_start_progress(&self, at: Micros, rules: &Rules) -> f64 {
-        let started = self.endpoint.started.max(self.possible_restart_at);
+        let started = self.started_at.max(self.possible_restart_at);
         if started == Micros(0) {
             return 1.0;
         }
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -120,3 +120,57 @@
     let found = found.count();
     assert!(found > 190, "{found} of 200");
 }
+
+/// The share of 2,000 keys that a new process of a server gets, at once, after half of its slow start and after all of it;
+/// the list dates its start so much after the moment at which it tells of it (ms), or before.
+fn shares_of_a_restarted_server(dated_after: i64) -> [usize; 3] {
+    let hour = ms(3_600_000);
+    let told_at = hour.plus(hour);
+    [0, 15_000, 30_500].map(|age| {
+        let mut rig = TestRouter::new(settings(), ready(4));
+        rig.now = told_at;
+        let mut restarted = Endpoint::ready(name(1));
+        let told_at_ms = i64::try_from(told_at.0 / 1_000).expect("in range");
+        restarted.started = ms((told_at_ms + dated_after).unsigned_abs());
+        rig.update_endpoints(EndpointUpdate::Delta, vec![restarted]);
+        rig.now = told_at.plus(ms(age));
+        (0..2_000)
+            .filter(|&key| rig.served_by(key) == Some(name(1)))
+            .count()
+    })
+}
+
+/// Guards against wall clocks that are apart by seconds or an hour: a start that the list dates ahead left the server
+/// without requests until then, one that it dates back left it without slow start.
+#[test]
+fn a_new_process_warms_up_from_when_it_is_told_whatever_the_clocks_say() {
+    for dated_after in [3_600_000, 5_000, 0, -5_000, -3_600_000] {
+        let [fresh, half, warm] = shares_of_a_restarted_server(dated_after);
+        assert!(warm > 350, "{dated_after} ms: warm {warm}");
+        assert!(
+            fresh < warm / 5,
+            "{dated_after} ms: fresh {fresh}, warm {warm}"
+        );
+        assert!(
+            half > fresh && half < warm * 3 / 4,
+            "{dated_after} ms: half {half}, warm {warm}"
+        );
+    }
+}
+
+/// Guards against an operator's word from a process whose wall clock ran ahead: the server got no requests until then.
+#[test]
+fn a_server_that_was_enabled_in_the_future_warms_up_from_now() {
+    let mut rig = TestRouter::new(settings(), ready(4));
+    let server = name(1);
+    rig.event(Event::ServerDisabled {
+        server: server.clone(),
+    });
+    let at = rig.now.plus(ms(3_600_000));
+    rig.event(Event::ServerEnabled { server, at });
+    rig.now = rig.now.plus(ms(30_500));
+    let warm = (0..2_000)
+        .filter(|&key| rig.served_by(key) == Some(name(1)))
+        .count();
+    assert!(warm > 350, "warm {warm}");
+}
