A failed accept ends neither the queue at the stop nor the turn of other clients

Callers: at the end of a process one ECONNABORTED or EMFILE reset all connections that still stood in the listener's queue, requests in them included; in service each failed accept kept all clients waiting for 20 ms, whomever it concerned. Cause: accept_queued stopped at the first error, and accept took each error for one of the process. accept(2) passes on what became of the one connection: after such an error (socket_error.rs) the next is taken at once. One of the process (ENFILE, EMFILE, ENOBUFS) makes room and waits 20 ms, also at the stop, ten times on end at most. The simulation's system calls can be made to fail.

--- a/crates/router-runtime/src/downstream/connections.rs
+++ b/crates/router-runtime/src/downstream/connections.rs
@@ -6,12 +6,14 @@
 use crate::environment::Environment;
 use crate::memory_budget::MemoryBudget;
 use crate::metrics::RouterMetrics;
+use crate::socket_error::concerns_one_connection;
 use crate::stage::RequestStage;
 use load_balancer::Class;
 use load_balancer::deployment::Names;
 use process_lifecycle::Lifecycle;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
@@ -22,6 +24,8 @@
 const IDLE_PLACES_DIVISOR: usize = 4;
 /// Connections in the listener's queue are accepted within this time each.
 const QUEUED_ACCEPT_LIMIT: Duration = Duration::from_millis(1);
+/// The rest of the queue is given up after so many failures on end.
+const MAX_QUEUED_ACCEPT_FAILURES: u32 = 10;
 /// How long to leave the listener alone after it failed, out of descriptors for instance.
 pub(super) const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -95,13 +99,20 @@
                         self.environment
                             .log(format_args!("accepting a client: {error}"));
                     }
-                    self.make_room();
-                    self.environment.sleep(ACCEPT_PAUSE).await;
+                    self.accept_failed(&error).await;
                 }
             }
         }
     }
 
+    /// Makes room and waits, unless the error was that of one connection.
+    async fn accept_failed(&self, error: &io::Error) {
+        if !concerns_one_connection(error) {
+            self.make_room();
+            self.environment.sleep(ACCEPT_PAUSE).await;
+        }
+    }
+
     /// Starts the accepted connection, if there is one, once there is a place for it.
     async fn start_accepted_when_room(self: &Rc<Self>) {
         if self.accepted.borrow().is_none() {
@@ -121,12 +132,23 @@
     /// more than there are places for, as long as there are descriptors: no others follow.
     pub async fn accept_queued(self: &Rc<Self>, listener: &E::Listener) {
         self.start_accepted();
-        while let Ok(Ok(stream)) = self
+        let mut failure_count = 0;
+        while let Ok(accepted) = self
             .environment
             .timeout(QUEUED_ACCEPT_LIMIT, self.environment.accept(listener))
             .await
         {
-            self.start(IdleConnection::accepted(stream));
+            match accepted {
+                Ok(stream) => {
+                    failure_count = 0;
+                    self.start(IdleConnection::accepted(stream));
+                }
+                Err(_) if failure_count == MAX_QUEUED_ACCEPT_FAILURES => return,
+                Err(error) => {
+                    failure_count += 1;
+                    self.accept_failed(&error).await;
+                }
+            }
         }
     }
 
--- a/crates/router-runtime/src/lib.rs
+++ b/crates/router-runtime/src/lib.rs
@@ -19,6 +19,7 @@
 mod request;
 pub mod resp;
 mod runtime;
+mod socket_error;
 mod stage;
 pub mod tokio_environment;
 mod upstream;
--- a/crates/router-simulation/src/network.rs
+++ b/crates/router-simulation/src/network.rs
@@ -10,12 +10,14 @@
 mod listener;
 mod machine;
 mod stream;
+mod system_calls;
 
 pub use conditions::{DatagramConditions, NetworkConditions};
 pub use datagram::SimulatedDatagramSocket;
 pub use environment::SimulatedEnvironment;
 pub use listener::SimulatedListener;
 pub use stream::{Half, SimulatedStream};
+pub use system_calls::SystemCall;
 
 use crate::executor::{Executor, Node, Time};
 use crate::rng::SeededRng;
--- a/crates/router-simulation/src/network/environment.rs
+++ b/crates/router-simulation/src/network/environment.rs
@@ -4,6 +4,7 @@
 use super::datagram::SimulatedDatagramSocket;
 use super::listener::SimulatedListener;
 use super::stream::SimulatedStream;
+use super::system_calls::SystemCall;
 use crate::UNIX_START;
 use crate::executor::{Node, Time};
 use router_runtime::environment::Environment;
@@ -49,8 +50,9 @@
         self.network.executor.spawn(self.node, task);
     }
 
-    fn connect(&self, to: SocketAddr) -> impl Future<Output = io::Result<SimulatedStream>> {
-        self.network.dial(self.node, to)
+    async fn connect(&self, to: SocketAddr) -> io::Result<SimulatedStream> {
+        self.network.system_call(self.node, SystemCall::Connect)?;
+        self.network.dial(self.node, to).await
     }
 
     fn accept(
--- a/crates/router-simulation/src/network/listener.rs
+++ b/crates/router-simulation/src/network/listener.rs
@@ -3,6 +3,7 @@
 use super::Network;
 use super::machine::Descriptor;
 use super::stream::SimulatedStream;
+use super::system_calls::SystemCall;
 use crate::executor::Node;
 use std::cell::RefCell;
 use std::collections::VecDeque;
@@ -71,10 +72,13 @@
     /// Accepts the next connection.
     ///
     /// # Errors
-    /// The process is out of descriptors; the connection stays in the backlog.
+    /// The process is out of descriptors, or the call is to fail; the connection stays in the backlog.
     pub async fn accept(&self) -> io::Result<SimulatedStream> {
         let stream = self.backlog.pop().await;
-        match Descriptor::take(&self.network, self.backlog.node) {
+        let call = self
+            .network
+            .system_call(self.backlog.node, SystemCall::Accept);
+        match call.and_then(|()| Descriptor::take(&self.network, self.backlog.node)) {
             Ok(descriptor) => {
                 stream.hold(descriptor);
                 Ok(stream)
--- a/crates/router-simulation/src/network/machine.rs
+++ b/crates/router-simulation/src/network/machine.rs
@@ -1,6 +1,7 @@
 //! Simulated machines: whether they run, what connects to them, and the descriptors of their processes.
 
 use super::Network;
+use super::system_calls::FailingCalls;
 use crate::executor::{Node, Time};
 use std::io;
 
@@ -32,6 +33,8 @@
     pub(super) clock_offset: i64,
     /// Bytes that it takes without their being read; `None`: as the network's conditions have it.
     pub(super) receive_window: Option<usize>,
+    /// System calls of its process that are to fail.
+    pub(super) failing_calls: FailingCalls,
 }
 
 impl Machine {
@@ -47,6 +50,7 @@
             connect_delay: 0,
             clock_offset: 0,
             receive_window: None,
+            failing_calls: FailingCalls::default(),
         }
     }
 }
--- a/crates/router-simulation/src/scenario.rs
+++ b/crates/router-simulation/src/scenario.rs
@@ -18,7 +18,9 @@
 use crate::executor::{Executor, Node, Time};
 use crate::fault_plan::{MILLI, SECOND};
 use crate::invariant_checker::{InvariantChecker, Role, RuleParameters, ServerIdentity, Violation};
-use crate::network::{DatagramConditions, Network, NetworkConditions, SimulatedEnvironment};
+use crate::network::{
+    DatagramConditions, Network, NetworkConditions, SimulatedEnvironment, SystemCall,
+};
 use crate::rng::SeededRng;
 use crate::simulation::{Simulation, Subnet, address};
 use cache_server::ScriptedServer;
@@ -238,6 +240,11 @@
         self.network.delay_connects(node, Time::MAX, delay);
     }
 
+    /// The router's next calls of this kind fail with these error numbers, one after the other.
+    pub fn fail_system_calls(&self, call: SystemCall, errors: &[i32]) {
+        self.network.fail_system_calls(self.router, call, errors);
+    }
+
     /// Unix time in milliseconds, for a process that starts now.
     pub fn born_now(&self) -> u64 {
         (UNIX_START + self.executor.now()) / 1_000
--- /dev/null
+++ b/crates/router-simulation/tests/failing_system_calls.rs
@@ -0,0 +1,84 @@
+//! System calls of the router that fail for a moment, as Linux documents for them, at an exact microsecond.
+
+use router_simulation::executor::Time;
+use router_simulation::fault_plan::{MILLI, SECOND};
+use router_simulation::network::SystemCall;
+use router_simulation::scenario::{LATENCY, ReceivedChunks, Scenario};
+
+const DEADLINE: Time = 500 * MILLI;
+/// A process that is told to stop accepts clients for so long.
+const ACCEPTS_AFTER_STOP: Time = 550 * MILLI;
+
+fn is_served(received: &ReceivedChunks) -> bool {
+    let chunks = received.borrow();
+    chunks.iter().any(|chunk| chunk.bytes.starts_with(b"*"))
+}
+
+/// Guards against a failed accept at the end of a process that resets the connections behind it in the queue.
+#[test]
+fn a_failed_accept_after_the_stop_loses_no_connection_behind_it() {
+    let errors = [
+        libc::ECONNABORTED,
+        libc::EINTR,
+        libc::ENETUNREACH,
+        libc::EHOSTUNREACH,
+        libc::ETIMEDOUT,
+        libc::ENFILE,
+        libc::EMFILE,
+        libc::ENOBUFS,
+    ];
+    for error in errors {
+        let scenario = Scenario::new(1, 1);
+        scenario.run_until(SECOND);
+        scenario.terminate();
+        let end = SECOND + ACCEPTS_AFTER_STOP;
+        scenario.fail_system_calls(SystemCall::Accept, &[error, error, error]);
+        // A client connects as soon as it is made.
+        let clients = [12, 8, 3].map(|before| {
+            scenario.run_until(end - LATENCY - before * MILLI);
+            scenario.request_at(end - before * MILLI + LATENCY, 0, before, DEADLINE)
+        });
+        scenario.run_until(end + SECOND);
+        let served = clients.iter().filter(|client| is_served(client)).count();
+        assert_eq!(served, clients.len(), "error {error}");
+        assert!(scenario.violations().is_empty(), "error {error}");
+    }
+}
+
+/// Guards against a failed accept that keeps all clients waiting though it concerned one of them.
+#[test]
+fn an_aborted_connection_delays_no_other_client() {
+    let scenario = Scenario::new(1, 1);
+    scenario.run_until(SECOND);
+    scenario.fail_system_calls(SystemCall::Accept, &[libc::ECONNABORTED; 20]);
+    let received = scenario.request_at(SECOND + 2 * LATENCY, 0, 1, DEADLINE);
+    scenario.run_until(SECOND + 60 * MILLI);
+    assert!(is_served(&received));
+}
+
+/// Guards against failures of this machine that count against a cache server and use up a request's attempts.
+#[test]
+fn a_connect_that_fails_on_this_machine_is_tried_again_at_the_same_server() {
+    let errors = [
+        libc::EADDRNOTAVAIL,
+        libc::ENETUNREACH,
+        libc::ENOBUFS,
+        libc::ENFILE,
+        libc::EINTR,
+    ];
+    let scenario = Scenario::new(2, 1);
+    scenario.run_until(SECOND);
+    scenario.fail_system_calls(SystemCall::Connect, &errors);
+    let received = scenario.request_at(SECOND + MILLI, 0, 1, DEADLINE);
+    scenario.run_until(2 * SECOND);
+    assert!(is_served(&received));
+    let again = scenario.request_at(2 * SECOND + MILLI, 0, 1, DEADLINE);
+    scenario.run_until(3 * SECOND);
+    assert!(is_served(&again));
+    let counts = [0, 1].map(|server| scenario.received_requests(server).len());
+    assert!(
+        counts.contains(&2),
+        "both at the owner of the key: {counts:?}"
+    );
+    assert!(scenario.violations().is_empty());
+}
