--- a/crates/router-runtime/src/socket_error.rs
+++ b/crates/router-runtime/src/socket_error.rs
@@ -1,4 +1,4 @@
-//! What a failed system call on a socket tells.
+//! What a failed system call on a socket tells: whether it concerns one connection, or this machine alone.
 
 use std::io;
 
@@ -22,3 +22,24 @@
         )
     )
 }
+
+/// Whether `connect` failed on this machine: no packet has reached the other one.
+pub fn is_local(error: &io::Error) -> bool {
+    matches!(
+        error.raw_os_error(),
+        Some(
+            libc::EADDRNOTAVAIL
+                | libc::EADDRINUSE
+                | libc::EAGAIN
+                | libc::EINTR
+                | libc::EMFILE
+                | libc::ENFILE
+                | libc::ENOBUFS
+                | libc::ENOMEM
+                | libc::ENETDOWN
+                | libc::ENETUNREACH
+                | libc::EPERM
+                | libc::EACCES
+        )
+    )
+}
--- a/crates/router-simulation/tests/failing_system_calls.rs
+++ b/crates/router-simulation/tests/failing_system_calls.rs
@@ -82,3 +82,16 @@
     );
     assert!(scenario.violations().is_empty());
 }
+
+/// Guards against a request that is tried for ever, or without its final answer, where no connect succeeds.
+#[test]
+fn where_each_connect_fails_a_request_gets_its_final_answer_in_time() {
+    let scenario = Scenario::new(2, 1);
+    scenario.run_until(SECOND);
+    scenario.fail_system_calls(SystemCall::Connect, &[libc::ENETUNREACH; 1_000]);
+    let received = scenario.request_at(SECOND + MILLI, 0, 1, DEADLINE);
+    scenario.run_until(SECOND + MILLI + DEADLINE + LATENCY);
+    let chunks = received.borrow();
+    assert!(chunks.iter().any(|chunk| chunk.bytes.starts_with(b"-")));
+    assert!(scenario.violations().is_empty());
+}
