A ban whose write failed is written again until it is stored, and synced

Callers: an operator's ban was gone after a full disk (ENOSPC, EIO) and a kill, though the command had been answered 200. Cause: AdminState::save logged a failed write and never came back to it; nothing was synced. Now a failed write is repeated every 0.2 s until it succeeds (one log line for its beginning, one for its end), and each write is synced on a thread of its own; a failed sync is written again. The file is written whole beside the old one and renamed, so that a kill leaves one or the other. Open: the command's answer does not wait for the write.

--- a/crates/cache-router/src/admin_state.rs
+++ b/crates/cache-router/src/admin_state.rs
@@ -6,18 +6,27 @@
 use crate::Runtime;
 use admin_api::RouterControl;
 use hot_restart::message::{HandoverState, Message, StoredOverride};
-use hot_restart::store::StateStore;
+use hot_restart::store::{StateStore, StoreError};
 use load_balancer::{AdminOverride, Micros, ServerId};
 use router_runtime::Metrics;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use tokio::sync::mpsc;
+use std::time::Duration;
+use tokio::sync::{Notify, mpsc};
+use tokio::task::spawn_blocking;
+
+/// The pause before a failed write of the overrides is repeated.
+const SAVE_RETRY_PAUSE: Duration = Duration::from_millis(200);
 
 /// The router of this process as operators control it.
 pub struct AdminState {
     runtime: Rc<Runtime>,
     /// Where overrides are saved; `None`: nowhere.
     store: Option<StateStore>,
+    /// Overrides were written, or failed to be: they are to be synced to the disk, or written again.
+    saved: Notify,
+    /// The last write or sync failed.
+    has_failed_to_save: Cell<bool>,
     /// Other processes of this router, which get each change. One that has ended is dropped at the next change.
     peers: RefCell<Vec<mpsc::UnboundedSender<Message>>>,
     /// No predecessor process serves: there is none, it knows that this one serves, or it has ended.
@@ -34,6 +43,8 @@
         Rc::new(AdminState {
             runtime,
             store,
+            saved: Notify::new(),
+            has_failed_to_save: Cell::new(false),
             peers: RefCell::default(),
             has_taken_over: Cell::new(!has_predecessor),
         })
@@ -92,8 +103,43 @@
             overrides: self.stored_overrides(),
             ..HandoverState::default()
         };
-        if let Err(error) = store.save(state) {
-            eprintln!("asterport: {}: {error}", store.path().display());
+        let saved = store.save(state);
+        self.log_save(store, saved);
+        self.saved.notify_one();
+    }
+
+    /// Notes whether the overrides are stored. Failures on end are logged once, and so is their end.
+    fn log_save(&self, store: &StateStore, saved: Result<(), StoreError>) {
+        let had_failed = self.has_failed_to_save.replace(saved.is_err());
+        match saved {
+            Err(error) if !had_failed => {
+                eprintln!("asterport: {}: {error}", store.path().display());
+            }
+            Ok(()) if had_failed => eprintln!("asterport: {}: saved", store.path().display()),
+            _ => {}
+        }
+    }
+
+    /// Writes overrides again that could not be written, until they are, and syncs them to the disk on a thread of its
+    /// own. Runs until the process ends.
+    pub async fn keep_saved(self: Rc<Self>) {
+        let Some(store) = self.store.clone() else {
+            return;
+        };
+        loop {
+            self.saved.notified().await;
+            while self.has_failed_to_save.get() {
+                tokio::time::sleep(SAVE_RETRY_PAUSE).await;
+                self.save();
+            }
+            let syncing = store.clone();
+            // The task does not panic; it is not aborted.
+            if let Ok(synced) = spawn_blocking(move || syncing.sync()).await
+                && synced.is_err()
+            {
+                self.log_save(&store, synced);
+                self.saved.notify_one();
+            }
         }
     }
 
--- a/crates/cache-router/tests/process_replacement.rs
+++ b/crates/cache-router/tests/process_replacement.rs
@@ -188,6 +188,36 @@
     );
 }
 
+/// Guards against a ban that an operator was told of and that is gone after a kill: its write failed once, and that was all.
+#[test]
+fn a_ban_that_could_not_be_written_at_first_survives_a_kill() {
+    let (_server, _discovery, config) = fleet();
+    let platform = Platform::new();
+    let path = platform.folder.join("asterport-n1.state");
+    // A folder in the place of the file that is written first: every write fails while it stands there.
+    let obstacle = path.with_extension("state.new");
+    std::fs::create_dir(&obstacle).expect("a folder");
+    let (first, admin) = with_admin(&config);
+    let router = platform.start(&first);
+    wait_until("it is ready", || is_ready(admin));
+    assert_eq!(
+        http_request(admin, "POST", "/api/exclude", r#"{"host":"s-a"}"#).status,
+        200
+    );
+    assert!(!path.exists());
+    std::fs::remove_dir(&obstacle).expect("removed");
+    wait_until("it is written after all", || path.exists());
+    drop(router);
+    let (next, admin) = with_admin(&config);
+    let _next = platform.start(&next);
+    wait_until("it is ready", || is_ready(admin));
+    let metrics = http_request(admin, "GET", "/api/telemetry", "").body;
+    assert!(
+        metrics.contains("router_skipped_cache_servers 1"),
+        "{metrics}"
+    );
+}
+
 #[test]
 fn an_unusable_state_file_is_logged_and_the_router_starts() {
     let (_server, _discovery, config) = fleet();
--- a/crates/hot-restart/src/store.rs
+++ b/crates/hot-restart/src/store.rs
@@ -77,4 +77,16 @@
         std::fs::rename(&temporary_path, &self.path)?;
         Ok(())
     }
+
+    /// Waits until the disk has what was saved last, and the name that it has.
+    ///
+    /// # Errors
+    /// When the disk does not take it: it is to be saved again.
+    pub fn sync(&self) -> Result<(), StoreError> {
+        File::open(&self.path)?.sync_all()?;
+        if let Some(folder) = self.path.parent() {
+            File::open(folder)?.sync_all()?;
+        }
+        Ok(())
+    }
 }
