The simulation counts drains of pushed lists from the moment the agent has them

Now, where an agent pushes lists, what is announced counts at once for each router whose watch is not silent, and for a new process from its first moment.

--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -13,6 +13,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::EndpointList;
 use crate::environment::Environment;
+use crate::mutation::hooks;
 use crate::upstream::UpstreamPools;
 use endpoint_table::EndpointTable;
 use error::WatchError;
@@ -168,7 +169,7 @@
     /// Returns when a call is due that the decision library does not ask for.
     async fn next_call(&self, next_call: Option<Instant>) {
         match next_call {
-            Some(at) => self.environment.sleep_until(at).await,
+            Some(at) => self.environment.sleep_until(hooks::call_at(at)).await,
             None => std::future::pending().await,
         }
     }
--- a/crates/router-runtime/src/mutation.rs
+++ b/crates/router-runtime/src/mutation.rs
@@ -36,6 +36,8 @@
     OverlooksDisconnects,
     /// Requests that are pending when the process has to end get no response.
     DropsPendingAtShutdown,
+    /// A pause stands before each call of discovery.
+    PausesBeforeCalls,
     /// A silent watch in push mode is kept.
     KeepsSilentPush,
     /// Servers that the list removes are kept.
@@ -66,7 +68,7 @@
 
 impl Mutation {
     /// The mutations that randomly drawn runs catch. Scenarios catch the others, whose faults are too rare in drawn
-    /// runs: [`Mutation::KeepsSilentPush`], [`Mutation::DropsPendingAtShutdown`], [`Mutation::KeepsOldConnections`] and
+    /// runs: [`Mutation::PausesBeforeCalls`], [`Mutation::KeepsSilentPush`], [`Mutation::DropsPendingAtShutdown`], [`Mutation::KeepsOldConnections`] and
     /// [`Mutation::OverlooksDisconnects`].
     pub const DRAWN: [Mutation; 23] = [
         Mutation::AnswersTwice,
--- a/crates/router-runtime/src/mutation/hooks.rs
+++ b/crates/router-runtime/src/mutation/hooks.rs
@@ -98,6 +98,15 @@
     }
 }
 
+/// When discovery is called.
+pub(crate) fn call_at(at: Instant) -> Instant {
+    if is_active(Mutation::PausesBeforeCalls) {
+        at + Duration::from_millis(500)
+    } else {
+        at
+    }
+}
+
 /// By when a watch has to say something.
 pub(crate) fn silence_deadline(deadline: Instant, is_push: bool, now: Instant) -> Instant {
     if is_active(Mutation::KeepsSilentPush) && is_push {
--- a/crates/router-simulation/src/deployment.rs
+++ b/crates/router-simulation/src/deployment.rs
@@ -33,6 +33,8 @@
 /// What differs between deployments of a simulation; times in microseconds.
 #[derive(Clone, Debug)]
 pub(crate) struct DeploymentParameters {
+    /// An agent pushes lists to each router.
+    pub lists_are_pushed: bool,
     pub(crate) zone_count: usize,
     /// Each class of [`CLASSES`].
     pub(crate) classes: [ClassParameters; 4],
@@ -75,9 +77,7 @@
         Settings {
             classes: self.classes(),
             tenants: vec![tenant; 2],
-            discovery: DiscoveryMode::Subscribe {
-                poll_within: Micros(10 * SECOND),
-            },
+            discovery: self.discovery_mode(),
             rules: self.rules(),
             limits: Limits {
                 max_attempts: MAX_ATTEMPT_COUNT,
@@ -93,6 +93,15 @@
         }
     }
 
+    fn discovery_mode(&self) -> DiscoveryMode {
+        if self.lists_are_pushed {
+            return DiscoveryMode::Push;
+        }
+        DiscoveryMode::Subscribe {
+            poll_within: Micros(10 * SECOND),
+        }
+    }
+
     fn classes(&self) -> Vec<Class> {
         let keyed = |scope| Idempotency::Keyed {
             scope,
@@ -141,6 +150,7 @@
             classes: names.zip(idempotency).collect(),
             answer_grace: ANSWER_GRACE,
             drain_grace: DRAIN_GRACE,
+            lists_are_pushed: self.lists_are_pushed,
             max_attempts: MAX_ATTEMPT_COUNT as usize,
             hedging: self.hedging,
             overload_multiple: self.overload_multiple,
--- a/crates/router-simulation/src/fault_plan.rs
+++ b/crates/router-simulation/src/fault_plan.rs
@@ -116,6 +116,8 @@
     pub origin_slots: usize,
     /// What clients send, in the order of its time.
     pub requests: Vec<PlannedRequest>,
+    /// An agent pushes lists to each router.
+    pub lists_are_pushed: bool,
     /// Routers coalesce identical reads.
     pub coalescing: bool,
     /// Where they do: crowds that read one key.
--- a/crates/router-simulation/src/invariant_checker.rs
+++ b/crates/router-simulation/src/invariant_checker.rs
@@ -86,7 +86,7 @@
             server_zones: servers.iter().map(|server| server.zone).collect(),
             connections: BTreeMap::new(),
             requests: RequestTable::new(parameters.answer_grace),
-            drains: Drains::new(server_numbers.collect()),
+            drains: Drains::new(server_numbers.collect(), parameters.lists_are_pushed),
             processes: servers.iter().map(|_| ServerProcess::default()).collect(),
             coalescing: parameters.coalescing.clone().map(Coalescing::new),
             trace: Trace::new(is_recording),
--- a/crates/router-simulation/src/invariant_checker/drains.rs
+++ b/crates/router-simulation/src/invariant_checker/drains.rs
@@ -2,7 +2,8 @@
 //!
 //! A router learns of it when the line of the endpoint list is whole at its machine, when an operator disables the
 //! server there, or at the latest [`DEEMED_KNOWN`] after discovery has announced it. What a silent watch misses counts as
-//! known so long after the watch fell silent, or at once if it is announced later than that.
+//! known so long after the watch fell silent, or at once if it is announced later than that. Where an agent pushes lists, a
+//! router learns of what is announced at once, from its first moment on, unless its watch is silent.
 
 use crate::executor::Time;
 use serde_json::Value;
@@ -58,11 +59,13 @@
     /// By router, until a list comes on another watch.
     silent: BTreeMap<usize, SilentWatch>,
     latest: BTreeMap<usize, Announcement>,
+    lists_are_pushed: bool,
 }
 
 impl Drains {
-    pub(super) fn new(server_numbers: BTreeMap<String, usize>) -> Drains {
+    pub(super) fn new(server_numbers: BTreeMap<String, usize>, lists_are_pushed: bool) -> Drains {
         Drains {
+            lists_are_pushed,
             server_numbers,
             knowledge: BTreeMap::new(),
             disabled_since: BTreeMap::new(),
@@ -78,6 +81,17 @@
         self.knowledge.retain(|&(other, _), _| other != router);
         self.silent.remove(&router);
         self.apply_list(now, router, list, true);
+        if self.lists_are_pushed {
+            let latest = self.latest.clone();
+            for (server, announcement) in latest {
+                let pending = PendingAnnouncement {
+                    router: Some(router),
+                    server,
+                    announcement,
+                };
+                self.deem_known(now, &pending);
+            }
+        }
     }
 
     pub(super) fn override_changed(&mut self, now: Time, pair: Pair, is_disabled: bool) {
@@ -105,6 +119,23 @@
             self.add_pending(deemed_known_at, for_one);
         }
         self.latest.insert(server, announcement);
+        if self.lists_are_pushed {
+            self.push(now, for_all);
+        }
+    }
+
+    /// Makes an announcement known to the routers whose watch is not silent.
+    fn push(&mut self, now: Time, announced: PendingAnnouncement) {
+        let routers: BTreeSet<usize> = self.knowledge.keys().map(|pair| pair.0).collect();
+        for router in routers {
+            if !self.silent.contains_key(&router) {
+                let pending = PendingAnnouncement {
+                    router: Some(router),
+                    ..announced
+                };
+                self.deem_known(now, &pending);
+            }
+        }
     }
 
     fn add_pending(&mut self, deemed_known_at: Time, pending: PendingAnnouncement) {
--- a/crates/router-simulation/src/invariant_checker/rule.rs
+++ b/crates/router-simulation/src/invariant_checker/rule.rs
@@ -87,6 +87,8 @@
     pub answer_grace: Time,
     /// How long after a router learns of a drain it may still send to the server.
     pub drain_grace: Time,
+    /// An agent pushes lists to each router: what is announced counts as told at once, with or without a watch.
+    pub lists_are_pushed: bool,
     /// Attempts of one request.
     pub max_attempts: usize,
     /// Two attempts of one request may be in flight together.
--- a/crates/router-simulation/src/run.rs
+++ b/crates/router-simulation/src/run.rs
@@ -119,6 +119,7 @@
         priority_weight: if class == 0 { 1.0 } else { 8.0 },
     };
     DeploymentParameters {
+        lists_are_pushed: plan.lists_are_pushed,
         zone_count: 3,
         classes: [class(0), class(1), class(2), class(3)],
         latency_objective: plan.latency_objective,
--- a/crates/router-simulation/src/scenario.rs
+++ b/crates/router-simulation/src/scenario.rs
@@ -25,7 +25,6 @@
 use crate::simulation::{Simulation, Subnet, address};
 use cache_server::ScriptedServer;
 use discovery::ScriptedDiscovery;
-use load_balancer::DiscoveryMode;
 use router_runtime::{RouterConfig, RouterRuntime};
 use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
@@ -245,6 +244,11 @@
         self.network.fail_system_calls(self.router, call, errors);
     }
 
+    /// Watches that are open at this time are reset then.
+    pub fn reset_watches_at(&self, at: Time) {
+        self.discovery.reset_at.set(at);
+    }
+
     /// Unix time in milliseconds, for a process that starts now.
     pub fn born_now(&self) -> u64 {
         (UNIX_START + self.executor.now()) / 1_000
@@ -275,6 +279,7 @@
 fn new_simulation(server_count: usize, seed: u64, options: Options) -> Simulation {
     let parameters = RuleParameters {
         coalescing: options.coalesces.then(coalescing_parameters),
+        lists_are_pushed: options.is_pushed,
         ..rule_parameters()
     };
     Simulation::new(
@@ -307,10 +312,11 @@
 }
 
 fn router_config(seed: u64, options: Options, list: &str) -> RouterConfig {
-    let mut deployment = deployment_parameters().deployment();
-    if options.is_pushed {
-        deployment.settings.discovery = DiscoveryMode::Push;
-    }
+    let parameters = DeploymentParameters {
+        lists_are_pushed: options.is_pushed,
+        ..deployment_parameters()
+    };
+    let deployment = parameters.deployment();
     RouterConfig {
         coalescing: options
             .coalesces
@@ -361,6 +367,7 @@
         priority_weight: 1.0,
     };
     DeploymentParameters {
+        lists_are_pushed: false,
         zone_count: 2,
         classes: [class; 4],
         latency_objective: SECOND / 2,
--- a/crates/router-simulation/src/scenario/discovery.rs
+++ b/crates/router-simulation/src/scenario/discovery.rs
@@ -25,6 +25,8 @@
     announcements: RefCell<Vec<Announcement>>,
     /// Watches opened before this time send nothing from then on.
     pub(super) silent_at: Cell<Time>,
+    /// Watches opened before this time are reset then.
+    pub(super) reset_at: Cell<Time>,
 }
 
 impl ScriptedDiscovery {
@@ -32,6 +34,7 @@
         ScriptedDiscovery {
             announcements: RefCell::default(),
             silent_at: Cell::new(Time::MAX),
+            reset_at: Cell::new(Time::MAX),
         }
     }
 
@@ -74,6 +77,9 @@
             if (opened..executor.now()).contains(&self.silent_at.get()) {
                 return read_to_end(&mut stream).await;
             }
+            if (opened..executor.now()).contains(&self.reset_at.get()) {
+                return stream.reset();
+            }
             let due = self.take_due(executor.now());
             if !due.is_empty() {
                 version += 1;
--- a/crates/router-simulation/tests/rare_fault_scenarios.rs
+++ b/crates/router-simulation/tests/rare_fault_scenarios.rs
@@ -46,6 +46,25 @@
     scenario
 }
 
+/// An agent's watch is reset, and a server drains at once: the agent has it, with or without a watch.
+fn lost_push() -> Scenario {
+    let scenario = Scenario::with_push_discovery(2, 1);
+    scenario.run_until(SECOND);
+    scenario.reset_watches_at(SECOND);
+    scenario.run_until(SECOND + 2 * MILLI);
+    let drained_at = SECOND + 2 * MILLI;
+    scenario.announce_at(drained_at, 0, "draining", 0);
+    scenario
+        .checker()
+        .endpoint_announced(drained_at, 0, false, 0);
+    for key in 0..100 {
+        scenario.request_at(drained_at + key * 10 * MILLI, 0, key, SECOND);
+    }
+    scenario.run_until(4 * SECOND);
+    assert_eq!(scenario.total_received_requests(), 100, "each was sent");
+    scenario
+}
+
 /// A client that is never at rest asks once more long after SIGTERM, for longer than the process has.
 fn unanswered_at_shutdown() -> Scenario {
     let scenario = Scenario::new(1, 1);
@@ -83,11 +102,12 @@
 
 /// Each kind of scenario, and the rule that breaks with its mutation.
 type RareScenario = (fn() -> Scenario, Rule);
-const SCENARIOS: [RareScenario; 4] = [
+const SCENARIOS: [RareScenario; 5] = [
     (departure, Rule::Departed),
     (departure_behind_commands, Rule::Departed),
     (silent_push, Rule::Drains),
     (unanswered_at_shutdown, Rule::Answered),
+    (lost_push, Rule::Drains),
 ];
 
 #[test]
@@ -153,6 +173,7 @@
         Mutation::OverlooksDisconnects,
         Mutation::KeepsSilentPush,
         Mutation::DropsPendingAtShutdown,
+        Mutation::PausesBeforeCalls,
     ];
     for ((run_scenario, rule), mutation) in SCENARIOS.into_iter().zip(mutations) {
         activate(Some(mutation));
--- a/tests/all.sh
+++ b/tests/all.sh
@@ -16,7 +16,8 @@
 target/release/router-simulation run --seeds 0..1050
 target/release/router-simulation run --joining --seeds 0..1000
 cargo run --release --locked --quiet -p router-simulation --features mutations --target-dir target/mutations -- mutants
-cargo test --release --locked --quiet -p router-simulation --features mutations --target-dir target/mutations --test drawn_runs --test rare_fault_scenarios
+cargo test --release --locked --quiet -p router-simulation --features mutations --target-dir target/mutations --test drawn_runs --test rare_fault_scenarios \
+    --test pushed_lists
 
 # Package names that were replaced do not come back. The changelog, the roadmap's landings and the journal keep them.
 removed='onyxpick|asterport[-_](engine|joining|life|handover|admin|load|sim|testkit)\b'
