Check the time told to a server, and drains of pushed lists in the soak

The soak counted drains of pushed lists 6 s after their announcement: now from the moment the agent has them, as in the simulation.

--- a/crates/router-runtime/src/mutation.rs
+++ b/crates/router-runtime/src/mutation.rs
@@ -14,6 +14,8 @@
     DropsPipelined,
     /// Deadlines of clients count as 100 ms later.
     DeadlinesLate,
+    /// Each attempt tells its server 200 ms more than is left to its client.
+    TellsTooMuchTime,
     /// Each attempt is followed by an unrequested copy.
     SendsAfterAnswer,
     /// An attempt that waited for its connection is sent although its client has disconnected.
@@ -70,10 +72,11 @@
     /// The mutations that randomly drawn runs catch. Scenarios catch the others, whose faults are too rare in drawn
     /// runs: [`Mutation::PausesBeforeCalls`], [`Mutation::KeepsSilentPush`], [`Mutation::DropsPendingAtShutdown`], [`Mutation::KeepsOldConnections`] and
     /// [`Mutation::OverlooksDisconnects`].
-    pub const DRAWN: [Mutation; 23] = [
+    pub const DRAWN: [Mutation; 24] = [
         Mutation::AnswersTwice,
         Mutation::DropsPipelined,
         Mutation::DeadlinesLate,
+        Mutation::TellsTooMuchTime,
         Mutation::SendsAfterAnswer,
         Mutation::SendsAfterDisconnect,
         Mutation::ReusesTimedOut,
--- a/crates/router-runtime/src/mutation/hooks.rs
+++ b/crates/router-runtime/src/mutation/hooks.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// The time that an attempt tells its server, in milliseconds.
+pub(crate) fn told_time(wait_ms: u64) -> u64 {
+    if is_active(Mutation::TellsTooMuchTime) {
+        wait_ms + 200
+    } else {
+        wait_ms
+    }
+}
+
 /// When to set a timer again that has fired: never.
 pub(crate) fn fired_timer(now: Instant) -> Option<Instant> {
     is_active(Mutation::LeaksTimers).then(|| now + BEYOND_RUN)
--- a/crates/router-runtime/src/upstream/attempt.rs
+++ b/crates/router-runtime/src/upstream/attempt.rs
@@ -3,6 +3,7 @@
 use super::connection::Connection;
 use super::pool::UpstreamPools;
 use crate::environment::Environment;
+use crate::mutation::hooks;
 use crate::request::{Answer, BodyPiece};
 use crate::resp::Command;
 use load_balancer::{
@@ -214,7 +215,7 @@
             .saturating_duration_since(self.environment.now())
             .as_millis()
             .max(1);
-        let encoded = command.encode(wait_ms as u64);
+        let encoded = command.encode(hooks::told_time(wait_ms as u64));
         self.write(connection, &encoded.head, context).await?;
         if encoded.long_value.is_empty() {
             return Ok(());
--- a/crates/router-simulation/src/invariant_checker/attempts.rs
+++ b/crates/router-simulation/src/invariant_checker/attempts.rs
@@ -6,11 +6,15 @@
 use super::rule::Rule;
 use super::{InvariantChecker, answers, departures, effects};
 use crate::executor::Time;
+use crate::fault_plan::MILLI;
 use crate::wire::{CacheRequest, Command, DecodedFrame, Response};
 
 /// The low bits of a request id hold the number of the client's try: 0 for the first.
 const TRIES_PER_REQUEST: u64 = 256;
 
+/// The time that an attempt tells its server may be longer by this than what is left to the client, in microseconds.
+const TOLD_TIME_SLACK: Time = 150_000;
+
 /// A command that a router has written whole.
 struct SentCommand<'a> {
     now: Time,
@@ -20,6 +24,14 @@
     call: &'a CacheRequest,
 }
 
+/// What is wrong with the time that an attempt tells its server.
+fn check_told_time(now: Time, request: &RequestState, call: &CacheRequest) -> Option<String> {
+    let told = call.timeout_ms * MILLI;
+    let left = request.deadline.saturating_sub(now);
+    (told > left + TOLD_TIME_SLACK)
+        .then(|| format!("its server is told {told} us where {left} us are left to the client"))
+}
+
 impl InvariantChecker {
     /// A router writes bytes to a server.
     pub(super) fn router_wrote(
@@ -102,6 +114,10 @@
             let after_answer = answers::check_unanswered(now, request, server);
             problems.extend(after_answer.map(|text| (Rule::Answered, text)));
         }
+        if !may_be_answered {
+            let told_time = check_told_time(now, request, sent.call);
+            problems.extend(told_time.map(|text| (Rule::ToldTime, text)));
+        }
         let repeats = effects::check_repeat(now, request, server, &self.server_zones);
         problems.extend(repeats.into_iter().map(|text| (Rule::Effects, text)));
         problems
--- a/crates/router-simulation/src/invariant_checker/rule.rs
+++ b/crates/router-simulation/src/invariant_checker/rule.rs
@@ -9,6 +9,8 @@
 pub enum Rule {
     /// Rule 1: whatever a running router accepts gets exactly one final answer in time, and nothing goes out after it.
     Answered,
+    /// An attempt tells its server at most the time that is left to the client.
+    ToldTime,
     /// Nothing is sent for a client that has disconnected.
     Departed,
     /// Rule 2: no effect happens twice.
@@ -30,6 +32,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Rule::Answered => "rule 1, every request answered once and in time",
+            Rule::ToldTime => "deadlines, servers are told what is left",
             Rule::Departed => "departures, nothing is sent for who has left",
             Rule::Effects => "rule 2, no effect twice",
             Rule::Drains => "rule 3, drains kept",
--- a/crates/router-soak/src/discovery.rs
+++ b/crates/router-soak/src/discovery.rs
@@ -88,9 +88,23 @@
             born_ms,
             changed_in: version,
         };
-        self.recorder
-            .announced(server, health == Health::Up, born_ms);
         self.changed.notify_waiters();
+        self.record_announcement(server, health == Health::Up, born_ms);
+    }
+
+    /// What changes while discovery is down, nobody is told before its return.
+    fn record_announcement(&self, server: usize, is_up: bool, born_ms: u64) {
+        let recorder = self.recorder.clone();
+        match self.down_until.get().filter(|at| Instant::now() < *at) {
+            None => recorder.announced(server, is_up, born_ms),
+            Some(at) => {
+                // Detached: ends with the run's task set at the latest.
+                spawn_local(async move {
+                    tokio::time::sleep_until(at.into()).await;
+                    recorder.announced(server, is_up, born_ms);
+                });
+            }
+        }
     }
 
     pub fn born_ms(&self, server: usize) -> u64 {
--- a/crates/router-soak/src/recorder.rs
+++ b/crates/router-soak/src/recorder.rs
@@ -204,7 +204,7 @@
     ];
     let names = CLASSES.map(str::to_string);
     RuleParameters {
-        lists_are_pushed: false,
+        lists_are_pushed: plan.is_push,
         classes: names.into_iter().zip(classes).collect::<BTreeMap<_, _>>(),
         answer_grace: ANSWER_GRACE,
         drain_grace: DRAIN_GRACE,
