--- a/crates/router-soak/src/plan.rs
+++ b/crates/router-soak/src/plan.rs
@@ -112,6 +112,8 @@
     pub faults: Vec<PlannedFault>,
     /// How the router is ended.
     pub ending: Ending,
+    /// The router's system calls fail now and then.
+    pub has_failing_calls: bool,
 }
 
 impl SoakPlan {
@@ -135,6 +137,7 @@
             service_ms: rng.range(5, 60),
             faults: Vec::new(),
             ending: ENDINGS[rng.index(ENDINGS.len())],
+            has_failing_calls: SeededRng::new(seed, 5).chance(0.5),
         };
         plan.draw_faults(&mut SeededRng::new(seed, 2));
         plan.draw_further_faults(&mut SeededRng::new(seed, 4));
@@ -219,7 +222,7 @@
         write!(
             f,
             "seed {}: {} servers, lists {discovery}, {} clients and {} idle, {} MiB, {} descriptors, deadlines {:?} ms, \
-             idempotency keys for {} ms, service {} ms, {:?}",
+             idempotency keys for {} ms, service {} ms, {:?}, system calls {}",
             self.seed,
             self.servers,
             self.clients,
@@ -229,7 +232,12 @@
             self.deadlines_ms,
             self.deduplication_ms,
             self.service_ms,
-            self.ending
+            self.ending,
+            if self.has_failing_calls {
+                "fail"
+            } else {
+                "succeed"
+            }
         )?;
         for fault in &self.faults {
             let PlannedFault {
--- a/crates/router-soak/src/run.rs
+++ b/crates/router-soak/src/run.rs
@@ -10,6 +10,7 @@
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -96,6 +97,15 @@
     LocalSet::new().block_on(&runtime, play(plan))
 }
 
+/// Names the library that lets system calls of the router fail; without it none do.
+const FAILING_CALLS_VARIABLE: &str = "ASTERPORT_FAILING_CALLS";
+
+/// The library that is loaded into the router, and its seed, where the plan wants system calls to fail.
+fn failing_calls(plan: &SoakPlan) -> Option<(PathBuf, u64)> {
+    let library = std::env::var_os(FAILING_CALLS_VARIABLE).filter(|_| plan.has_failing_calls)?;
+    Some((library.into(), plan.seed))
+}
+
 /// The parts of a run.
 struct Run {
     plan: SoakPlan,
@@ -120,7 +130,9 @@
         servers.push(server.await);
     }
     let discovery = Discovery::start(&servers, recorder.clone()).await;
-    let platform = Arc::new(Platform::new());
+    let mut platform = Platform::new();
+    platform.failing_calls = failing_calls(&plan);
+    let platform = Arc::new(platform);
     let run = Rc::new(Run {
         clients: Clients::new(&plan, platform.addr(), recorder.clone()),
         configuration: router_configuration(&plan, &discovery),
--- a/crates/test-support/src/platform.rs
+++ b/crates/test-support/src/platform.rs
@@ -12,6 +12,8 @@
     pub listener: TcpListener,
     /// The folder that all processes of the router share.
     pub folder: PathBuf,
+    /// A library that is loaded into each process, and the seed of the system calls that it lets fail.
+    pub failing_calls: Option<(PathBuf, u64)>,
 }
 
 impl Platform {
@@ -20,6 +22,7 @@
         Platform {
             listener: TcpListener::bind("127.0.0.1:0").expect("a port"),
             folder: unique_folder("asterport-tmp"),
+            failing_calls: None,
         }
     }
 
@@ -35,13 +38,27 @@
         let folder = self.folder.display();
         let socket = self.listener.try_clone().expect("a handle");
         RouterProcess::launch(Launch {
-            shell_commands: &format!("exec 3<&0 0</dev/null; export GW_FD=3 TMPDIR='{folder}';"),
+            shell_commands: &format!(
+                "exec 3<&0 0</dev/null; export GW_FD=3 TMPDIR='{folder}'; {}",
+                self.preload()
+            ),
             stdin: Stdio::from(OwnedFd::from(socket)),
             ..Launch::new(&configuration.to_string())
         })
     }
 }
 
+impl Platform {
+    /// What the shell runs so that system calls of the process fail.
+    fn preload(&self) -> String {
+        let Some((library, seed)) = &self.failing_calls else {
+            return String::new();
+        };
+        let library = library.display();
+        format!("export ASTERPORT_FAILING_CALLS_SEED={seed} LD_PRELOAD='{library}';")
+    }
+}
+
 impl Default for Platform {
     fn default() -> Platform {
         Platform::new()
