--- a/crates/failing-system-calls/src/lib.rs
+++ b/crates/failing-system-calls/src/lib.rs
@@ -1,6 +1,6 @@
 //! A library for `LD_PRELOAD`: `accept4` and `connect` of the process fail now and then, as Linux documents for them.
 //!
-//! `ASTERPORT_FAILING_CALLS_SEED` draws which calls fail, in bursts of up to [`MAX_BURST`]. A call that fails is not
+//! `ASTERPORT_FAILING_CALLS_SEED` draws which calls fail, in bursts of up to four. A call that fails is not
 //! made: a connection stays in the listener's queue, and no packet goes out. Without the variable every call is made.
 
 use libc::{c_char, c_int, c_void, sockaddr, socklen_t};
