Say where the bound on waits between calls of discovery ends

The module's head claimed it for any number of failed polls; after six queued ones on end the long waits follow. A comment alone: no code changes.

--- a/crates/load-balancer/src/subscription.rs
+++ b/crates/load-balancer/src/subscription.rs
@@ -3,7 +3,7 @@
 //! Inputs: updates of the list, the longest time without a poll (µs), the number of routers, this router's place among
 //! them or a random fraction. Answer: subscribe now, after some time, or not at all. Reason: routers must not poll
 //! together, but what discovery has counts as known 6 s after it can be reached: the longest wait and the longest call
-//! together stay below that, however many polls have failed. Discovery works polls in turn, also those that it gave up
+//! together stay below that, until six polls on end have waited in vain. Discovery works polls in turn, also those that it gave up
 //! meanwhile: a poll that waited in vain is followed by a longer wait than one that failed at once, and by no other beside it.
 
 use crate::endpoint::EndpointUpdate;
