Close a connection only once its client has taken all of its answers

Cause: a response counted as written once the kernel had it. The connection was then idle and was closed, by the end of the process, by a drain, to make room or half a second after an error line. Bytes for a closed socket are answered with a reset, which drops what the send buffer holds. Evidence: 675,910 of 1,048,606 bytes arrived, all before the client sent; the cache server had written all of its answer.

Change: where a connection is about to be closed, ReadStream::has_unsent_output asks the system whether written bytes are unsent (TCP_NOTSENT_LOWAT of one byte, and a poll). Until none is, the connection is served on and looked at again every 20 ms. One that has to make room is evicted last, and only if its client has taken nothing for 10 s.

--- a/crates/router-runtime/src/downstream/client.rs
+++ b/crates/router-runtime/src/downstream/client.rs
@@ -31,9 +31,11 @@
     Silent,
     /// It is idle between commands, and loses nothing when closed.
     BetweenCommands,
-    /// It has just connected, or its command has just begun. Last, so that a burst of new
+    /// It has just connected, or its command has just begun. Late, so that a burst of new
     /// connections does not evict itself.
     JustConnected,
+    /// It has not taken all of its responses yet, which it could lose.
+    Receiving,
 }
 
 /// The position of a client in the order of eviction: the smallest is evicted first.
@@ -71,6 +73,8 @@
     pub is_closing_for_drain: Cell<bool>,
     /// The connection makes room for another: the rest of a command is not waited for.
     pub is_evicted: Cell<bool>,
+    /// The connection is to be closed, but its client has not taken all of its responses yet.
+    pub has_unsent_output: Cell<bool>,
 }
 
 impl Client {
@@ -89,6 +93,7 @@
             pending_requests: RefCell::default(),
             is_closing_for_drain: Cell::new(false),
             is_evicted: Cell::new(false),
+            has_unsent_output: Cell::new(false),
         }
     }
 
@@ -128,6 +133,7 @@
         let age = now.saturating_duration_since(since);
         let is_silent = !self.has_sent_command.get() || self.has_begun_command();
         let priority = match is_silent {
+            _ if self.has_unsent_output.get() => EvictionPriority::Receiving,
             true if age > SILENT_AGE => EvictionPriority::LongSilent,
             true if age > ARRIVAL_GRACE => EvictionPriority::Silent,
             true => EvictionPriority::JustConnected,
--- a/crates/router-runtime/src/downstream/close.rs
+++ b/crates/router-runtime/src/downstream/close.rs
@@ -1,6 +1,8 @@
 //! Closes connections without losing the last response written.
 
+use super::client::Client;
 use super::connections::ClientConnections;
+use super::responses::WRITE_STALL_TIMEOUT;
 use crate::environment::{Environment, ReadStream, Stream};
 use crate::mutation::hooks;
 use crate::resp::READ_BYTES;
@@ -10,6 +12,9 @@
 
 /// How often a client that is not being read is checked for a disconnect.
 const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(40);
+/// How often a connection that is to be closed is checked for responses that the client has not taken
+/// yet.
+pub(super) const OUTPUT_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// How many bytes are read and discarded after the last response. Closing with unread input would
 /// reset the connection, and the client could lose an error reply.
 const MAX_DISCARD_BYTES: usize = 256 * 1024;
@@ -38,9 +43,32 @@
         }
     }
 
+    /// Closes the connection once the client has taken all responses, at once if it is evicted.
+    pub(super) async fn close(&self, mut stream: E::Stream, client: &Client) {
+        if !client.is_evicted.get() {
+            self.output_sent(&mut stream, client).await;
+        }
+    }
+
+    /// Waits until the client has taken all responses, or has been slow for too long. From then on
+    /// closing the connection loses none of them, whatever the client sends.
+    async fn output_sent(&self, stream: &mut E::Stream, client: &Client) {
+        let (reader, _) = stream.split();
+        let sent = async {
+            while reader.has_unsent_output() && !reader.has_peer_closed() {
+                client.has_unsent_output.set(true);
+                self.environment.sleep(OUTPUT_CHECK_INTERVAL).await;
+            }
+        };
+        // The client has stalled if this takes too long.
+        let _ = self.environment.timeout(WRITE_STALL_TIMEOUT, sent).await;
+        client.has_unsent_output.set(false);
+    }
+
     /// Shuts down the sending side and discards input for a short time. Closing a connection with
     /// unread input would reset it, and the last response could be lost.
-    pub(super) async fn close_after_discard(&self, mut stream: E::Stream) {
+    pub(super) async fn close_after_discard(&self, mut stream: E::Stream, client: &Client) {
+        self.output_sent(&mut stream, client).await;
         let discard = async {
             let mut remaining_bytes = MAX_DISCARD_BYTES;
             let mut bytes = [0; READ_BYTES];
--- a/crates/router-runtime/src/downstream/connection.rs
+++ b/crates/router-runtime/src/downstream/connection.rs
@@ -42,8 +42,11 @@
             let ServedConnection { stream, end } =
                 self.serve_until_idle(stream, unread, client).await;
             let unread = match end {
-                ReadEnd::Disconnected | ReadEnd::Close => return,
-                ReadEnd::CloseAfterDiscard => return self.close_after_discard(stream).await,
+                ReadEnd::Disconnected => return,
+                ReadEnd::Close => return self.close(stream, client).await,
+                ReadEnd::CloseAfterDiscard => {
+                    return self.close_after_discard(stream, client).await;
+                }
                 ReadEnd::Shutdown => return self.close_unread(stream).await,
                 ReadEnd::HandOver(unread) => unread,
             };
@@ -122,7 +125,7 @@
             if let ControlFlow::Break(end) = taken {
                 return end;
             }
-            let plan = match self.plan_read(&mut input, client) {
+            let plan = match self.plan_read(stream, &mut input, client) {
                 ControlFlow::Continue(plan) => plan,
                 ControlFlow::Break(end) => return end,
             };
@@ -186,6 +189,8 @@
         let has_early_end = plan.early_end.is_some();
         let has_deadline = plan.deadline.is_some();
         let deadline = plan.deadline.unwrap_or_else(|| self.environment.now());
+        let must_recheck = plan.recheck_at.is_some();
+        let recheck_at = plan.recheck_at.unwrap_or(deadline);
         let read = async {
             if plan.may_read && has_memory {
                 return read_unless_streaming(stream, &mut input.buffer, client).await;
@@ -205,6 +210,7 @@
             () = self.environment.sleep_until(deadline), if has_deadline => {
                 return ControlFlow::Break(ReadEnd::Close);
             }
+            () = self.environment.sleep_until(recheck_at), if must_recheck => {}
             () = client.changed.notified() => {}
             () = self.config.write_memory.freed(), if !has_memory => {}
         }
--- a/crates/router-runtime/src/downstream/connections.rs
+++ b/crates/router-runtime/src/downstream/connections.rs
@@ -207,7 +207,9 @@
             .values()
             .filter(|client| !client.has_pending_responses())
             .collect();
-        if without_pending.iter().any(|client| client.is_closing.get()) {
+        let makes_room =
+            |client: &&Rc<Client>| client.is_closing.get() && !client.has_unsent_output.get();
+        if without_pending.iter().any(makes_room) {
             return;
         }
         let first = without_pending
--- a/crates/router-runtime/src/downstream/read_plan.rs
+++ b/crates/router-runtime/src/downstream/read_plan.rs
@@ -2,9 +2,11 @@
 //! and of the process.
 
 use super::client::{COMMAND_TIMEOUT, Client};
+use super::close::OUTPUT_CHECK_INTERVAL;
 use super::connections::ClientConnections;
+use super::responses::WRITE_STALL_TIMEOUT;
 use crate::clock::to_duration;
-use crate::environment::Environment;
+use crate::environment::{Environment, ReadStream};
 use crate::memory_budget::MemoryReservation;
 use crate::mutation::hooks;
 use crate::resp::{CommandReader, READ_BYTES};
@@ -85,6 +87,8 @@
     pub early_end: Option<ReadEnd>,
     /// When the connection is closed unless further bytes arrive.
     pub deadline: Option<Instant>,
+    /// When to decide again, because the client has not taken all of its responses yet.
+    pub recheck_at: Option<Instant>,
 }
 
 impl<E: Environment> ClientConnections<E> {
@@ -111,6 +115,7 @@
     /// Decides how the next bytes are read, or that reading ends.
     pub(super) fn plan_read(
         &self,
+        stream: &impl ReadStream,
         input: &mut CommandInput,
         client: &Client,
     ) -> ControlFlow<ReadEnd, ReadPlan> {
@@ -133,7 +138,10 @@
             let unread = reader.into_unread(std::mem::take(&mut input.buffer));
             return ControlFlow::Break(ReadEnd::HandOver(unread));
         }
-        if client.is_closing_for_drain.get() && !has_pending {
+        let early_end = early_end(input, policy, client);
+        let is_refused = client.is_closing_for_drain.get() && !has_pending;
+        let is_receiving = (is_refused || early_end.is_some()) && self.defers_close(stream, client);
+        if is_refused && !is_receiving {
             // The client sends the rest of its pipeline again.
             return ControlFlow::Break(ReadEnd::CloseAfterDiscard);
         }
@@ -147,11 +155,30 @@
         ControlFlow::Continue(ReadPlan {
             may_read,
             has_memory,
-            early_end: early_end(input, policy, client),
+            early_end: early_end.filter(|_| !is_receiving),
             deadline,
+            recheck_at: is_receiving.then(|| self.environment.now() + OUTPUT_CHECK_INTERVAL),
         })
     }
 
+    /// Whether a connection that is to be closed stays open until its client has taken all of its
+    /// responses. A client that has been slow for too long is evicted nevertheless.
+    fn defers_close(&self, stream: &impl ReadStream, client: &Client) -> bool {
+        let has_unsent_output = stream.has_unsent_output();
+        client.has_unsent_output.set(has_unsent_output);
+        let last_used_at = client.last_used_at.get();
+        let unused_for = self
+            .environment
+            .now()
+            .saturating_duration_since(last_used_at);
+        if !has_unsent_output || client.is_evicted.get() && unused_for >= WRITE_STALL_TIMEOUT {
+            return false;
+        }
+        // Another client makes room.
+        client.is_evicted.set(false);
+        true
+    }
+
     /// Reserves buffer capacity for the rest of the command, and counts a long write against the
     /// write memory.
     fn reserve(&self, input: &mut CommandInput) {
--- a/crates/router-runtime/src/downstream/responses.rs
+++ b/crates/router-runtime/src/downstream/responses.rs
@@ -16,7 +16,7 @@
 
 /// A client that reads nothing of its response for this long is disconnected; slow clients pause
 /// for seconds.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// The response to one command, queued in command order.
 pub(super) enum PendingResponse {
--- a/crates/router-runtime/src/environment.rs
+++ b/crates/router-runtime/src/environment.rs
@@ -95,6 +95,11 @@
     /// Whether the peer has closed its sending side or reset the connection, even if bytes before
     /// that are still unread. A close behind more bytes than the system buffers is not noticed yet.
     fn has_peer_closed(&self) -> bool;
+
+    /// Whether written bytes wait in this machine's send buffer for the peer to make room for them.
+    /// They are lost if the connection is closed and the peer then sends anything, which is answered
+    /// with a reset.
+    fn has_unsent_output(&self) -> bool;
 }
 
 /// A TCP connection. Dropping it closes the connection, or resets it if bytes are unread.
--- a/crates/router-runtime/src/tokio_environment.rs
+++ b/crates/router-runtime/src/tokio_environment.rs
@@ -1,6 +1,7 @@
 //! The environment in production: the system's clocks, tokio's timers and tasks, and real sockets.
 
 use crate::environment::{DatagramSocket, Environment, ReadStream, Stream};
+use rustix::event::{PollFd, PollFlags, Timespec};
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -14,6 +15,10 @@
 
 /// Length of the listener's queue of connections that are not accepted yet.
 const BACKLOG: u32 = 1024;
+/// `TCP_NOTSENT_LOWAT`, in bytes: the socket is writable only while no written byte is unsent.
+const NO_UNSENT_BYTES: u32 = 1;
+/// `TCP_NOTSENT_LOWAT`: the system's default applies.
+const SYSTEM_DEFAULT: u32 = 0;
 
 /// The environment of this process. It has to be used within a [`tokio::task::LocalSet`], on a
 /// runtime with its I/O and time drivers enabled.
@@ -77,6 +82,20 @@
             pin!(self.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
+
+    fn has_unsent_output(&self) -> bool {
+        let stream: &TcpStream = self.as_ref();
+        // With this option a socket is writable only while no written byte is unsent.
+        let socket = socket2::SockRef::from(stream);
+        if socket.set_tcp_notsent_lowat(NO_UNSENT_BYTES).is_err() {
+            return false;
+        }
+        let mut descriptors = [PollFd::new(stream, PollFlags::OUT)];
+        let is_writable = rustix::event::poll(&mut descriptors, Some(&Timespec::default()));
+        // The socket stays usable if this fails, with a smaller send buffer.
+        let _ = socket.set_tcp_notsent_lowat(SYSTEM_DEFAULT);
+        is_writable == Ok(0)
+    }
 }
 
 impl Stream for TcpStream {
--- a/crates/router-simulation/src/network/stream.rs
+++ b/crates/router-simulation/src/network/stream.rs
@@ -234,6 +234,11 @@
         let inbound = stream.connection.pipe(stream.side.other());
         inbound.borrow().is_closed()
     }
+
+    /// The peer's window has room for all bytes that a write accepts.
+    fn has_unsent_output(&self) -> bool {
+        false
+    }
 }
 
 impl environment::Stream for SimulatedStream {
--- a/crates/test-support/src/lib.rs
+++ b/crates/test-support/src/lib.rs
@@ -26,7 +26,7 @@
     Fleet, TwoServerFleet, start_router, start_router_with_settings, start_router_with_two_servers,
     start_router_with_two_servers_and_settings,
 };
-pub use network::{unresponsive_listener, unused_addr};
+pub use network::{connect_with_receive_buffer, unresponsive_listener, unused_addr};
 pub use platform::Platform;
 pub use resp::{encode_command, read_frame, value_reply};
 pub use router_process::{
--- a/crates/test-support/src/network.rs
+++ b/crates/test-support/src/network.rs
@@ -27,6 +27,17 @@
     }
 }
 
+/// Connects with a receive buffer of this size, in bytes.
+pub fn connect_with_receive_buffer(addr: SocketAddr, bytes: usize) -> TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
+        .expect("failed to create a socket");
+    socket
+        .set_recv_buffer_size(bytes)
+        .expect("failed to set the receive buffer's size");
+    socket.connect(&addr.into()).expect("failed to connect");
+    TcpStream::from(socket)
+}
+
 /// Returns a listener with a full backlog and the connections that fill it. The kernel drops
 /// further connection attempts, as if the host were unreachable.
 pub fn unresponsive_listener() -> (TcpListener, Vec<TcpStream>) {
