Let a write that has stopped give its memory up for writes that wait

Cause: past the memory budget only the oldest unfinished write was read on; the oldest ones had stopped, and kept their memory until they were closed after 10 s. What waited was not read, so nothing knew its deadline, and its time began when it was read. Evidence: the server's record (the command came 7 to 9 s late, with d=1199); without the stopped clients none is late.

Change (downstream/memory_wait.rs): the fields of a write are known before its value. After an eighth of its client's time a waiting write takes the memory of the write without arrivals for longest; that one's value is discarded and it is refused once it is complete, having never run. A write that is whole in the receive buffer and has no memory after half of its time is refused the same way, and its wait counts against its deadline. Every write that was taken is so answered in time, whatever holds the memory.

--- /dev/null
+++ b/crates/cache-router/tests/write_memory.rs
@@ -0,0 +1,180 @@
+//! Long writes that need more memory than there is, while others keep what they hold. Runs the
+//! router binary against fake peers on loopback sockets.
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::time::{Duration, Instant};
+use test_support::*;
+
+/// With this memory the router holds 10.7 MiB of writes.
+const MEMORY_MB: usize = 48;
+const LONG_VALUE_BYTES: usize = 4 * 1024 * 1024;
+/// A value that fits a socket's receive buffer, so that its write is taken before it is read.
+const SHORT_VALUE_BYTES: usize = 32 * 1024;
+/// What the long writes leave unsent.
+const REST_BYTES: usize = 64 * 1024;
+/// Long enough for the router to read what it has memory for.
+const FILL_TIME: Duration = Duration::from_millis(300);
+
+fn start_router_with_little_memory(server: &CacheServer) -> (RouterProcess, Discovery) {
+    let discovery = Discovery::start(endpoint_list(7, false, &[]));
+    let mut config = configuration(discovery.addr, &[server.entry("up")]);
+    config["limits"]["memory_mb"] = MEMORY_MB.into();
+    (RouterProcess::start(&config), discovery)
+}
+
+fn write_command(number: usize, deadline_ms: u64, value_bytes: usize) -> Vec<u8> {
+    encode_command(&[
+        "C.SET",
+        &format!("{number:016x}"),
+        &format!("id{number}"),
+        &format!("c=put,t=acme,d={deadline_ms},k=k{number}"),
+        &"w".repeat(value_bytes),
+    ])
+}
+
+/// A client that has sent a part of a command. A thread sends it, as the router may leave it unread.
+struct PartialWrite {
+    stream: TcpStream,
+    rest: Vec<u8>,
+}
+
+impl PartialWrite {
+    fn send(router: &RouterProcess, mut command: Vec<u8>, unsent_bytes: usize) -> PartialWrite {
+        let stream = TcpStream::connect(router.addr).expect("failed to connect");
+        stream
+            .set_read_timeout(Some(MAX_WAIT))
+            .expect("failed to set the timeout");
+        let rest = command.split_off(command.len() - unsent_bytes);
+        let mut sender = stream.try_clone().expect("failed to clone the socket");
+        // The connection may end with the test, before all of it is sent.
+        std::thread::spawn(move || sender.write_all(&command));
+        PartialWrite { stream, rest }
+    }
+
+    /// Sends the rest and reads the answer.
+    fn finish(mut self) -> String {
+        self.stream
+            .write_all(&self.rest)
+            .expect("failed to write the rest");
+        self.read_answer()
+    }
+
+    fn read_answer(&self) -> String {
+        let answer = read_frame(&mut BufReader::new(&self.stream));
+        let answer = answer.expect("connection closed without an answer");
+        String::from_utf8_lossy(&answer).into_owned()
+    }
+}
+
+/// Guards against clients that stop inside a write and so keep the memory that other writes need.
+#[test]
+fn clients_that_stop_inside_a_write_delay_no_other_write_beyond_its_deadline() {
+    const DEADLINE_MS: u64 = 2_000;
+    let server = CacheServer::start("s-a");
+    let (router, _discovery) = start_router_with_little_memory(&server);
+    let stopped: Vec<PartialWrite> = (0..4)
+        .map(|number| {
+            let command = write_command(number, 4_000, LONG_VALUE_BYTES);
+            PartialWrite::send(&router, command, REST_BYTES)
+        })
+        .collect();
+    std::thread::sleep(FILL_TIME);
+    let start = Instant::now();
+    let others: Vec<PartialWrite> = (100..108)
+        .map(|number| {
+            let command = write_command(number, DEADLINE_MS, SHORT_VALUE_BYTES);
+            PartialWrite::send(&router, command, 0)
+        })
+        .collect();
+    for other in &others {
+        let answer = other.read_answer();
+        assert!(answer.starts_with("*3"), "{answer}");
+    }
+    assert!(
+        start.elapsed() < Duration::from_millis(DEADLINE_MS),
+        "{:?}",
+        start.elapsed()
+    );
+    // The writes that had stopped are served or may be repeated.
+    for write in stopped {
+        let answer = write.finish();
+        assert!(answer.starts_with("*3") || answer.starts_with("-BUSY"));
+    }
+}
+
+/// Guards against a write that is answered, and run, long after its client's time is over, where
+/// nothing can be given up for it.
+#[test]
+fn a_write_that_gets_no_memory_in_time_is_rejected_and_not_sent() {
+    const DEADLINE_MS: u64 = 800;
+    let server = CacheServer::start("s-a");
+    server.set_default_behavior(Behavior::StaySilent);
+    let (router, _discovery) = start_router_with_little_memory(&server);
+    // Three complete writes hold their memory until their attempts end; the fourth waits.
+    let pending: Vec<PartialWrite> = (0..4)
+        .map(|number| {
+            let command = write_command(number, 4_000, LONG_VALUE_BYTES);
+            PartialWrite::send(&router, command, 0)
+        })
+        .collect();
+    wait_until("the server has three writes", || {
+        server.commands().len() == 3
+    });
+    std::thread::sleep(FILL_TIME);
+    let start = Instant::now();
+    let command = write_command(100, DEADLINE_MS, SHORT_VALUE_BYTES);
+    let write = PartialWrite::send(&router, command, 0);
+    let answer = write.read_answer();
+    assert!(answer.starts_with("-BUSY"), "{answer}");
+    assert!(
+        start.elapsed() < Duration::from_millis(DEADLINE_MS),
+        "{:?}",
+        start.elapsed()
+    );
+    assert!(
+        server
+            .commands()
+            .iter()
+            .all(|arguments| arguments[2] != "id100")
+    );
+    drop(pending);
+    // The connection is still usable.
+    let mut stream = &write.stream;
+    stream
+        .write_all(&encode_command(&["PING"]))
+        .expect("failed to write");
+    assert_eq!(write.read_answer(), "+PONG\r\n");
+}
+
+/// Guards against a server that is told of time that its client has spent waiting for memory.
+#[test]
+fn the_wait_for_memory_counts_against_the_time_that_a_server_is_told() {
+    const DEADLINE_MS: u64 = 3_000;
+    let server = CacheServer::start("s-a");
+    let (router, _discovery) = start_router_with_little_memory(&server);
+    let _stopped: Vec<PartialWrite> = (0..3)
+        .map(|number| {
+            let command = write_command(number, 4_000, LONG_VALUE_BYTES);
+            PartialWrite::send(&router, command, REST_BYTES)
+        })
+        .collect();
+    std::thread::sleep(FILL_TIME);
+    let start = Instant::now();
+    let command = write_command(100, DEADLINE_MS, SHORT_VALUE_BYTES);
+    let answer = PartialWrite::send(&router, command, 0).read_answer();
+    let waited = start.elapsed().as_millis() as u64;
+    assert!(answer.starts_with("*3"), "{answer}");
+    let commands = server.commands();
+    let write = commands.iter().find(|arguments| arguments[2] == "id100");
+    let fields = &write.expect("the write was not sent")[3];
+    let told: u64 = fields
+        .split(',')
+        .find_map(|field| field.strip_prefix("d=")?.parse().ok())
+        .expect("no time was told");
+    // The slack that a server may be told beyond what is left.
+    assert!(
+        told <= DEADLINE_MS.saturating_sub(waited) + 150,
+        "told {told} ms after {waited} ms"
+    );
+}
--- a/crates/router-runtime/src/clock.rs
+++ b/crates/router-runtime/src/clock.rs
@@ -44,3 +44,8 @@
 pub fn to_duration(time: Micros) -> Duration {
     Duration::from_micros(time.0)
 }
+
+/// Converts a duration for the decision library.
+pub fn to_micros(time: Duration) -> Micros {
+    Micros(u64::try_from(time.as_micros()).unwrap_or(u64::MAX))
+}
--- a/crates/router-runtime/src/downstream.rs
+++ b/crates/router-runtime/src/downstream.rs
@@ -9,6 +9,7 @@
 mod commands;
 mod connection;
 mod connections;
+mod memory_wait;
 mod read_plan;
 mod responses;
 
--- a/crates/router-runtime/src/downstream/client.rs
+++ b/crates/router-runtime/src/downstream/client.rs
@@ -60,6 +60,8 @@
     pub has_unparsed_input: Cell<bool>,
     /// The client has sent a complete command.
     pub has_sent_command: Cell<bool>,
+    /// The value of the incomplete command is discarded.
+    pub is_discarding_value: Cell<bool>,
     /// When the incomplete command began to arrive.
     pub command_began_at: Cell<Option<Instant>>,
     /// The number of unknown commands so far.
@@ -87,6 +89,7 @@
             is_streaming: Cell::new(false),
             has_unparsed_input: Cell::new(false),
             has_sent_command: Cell::new(has_sent_command),
+            is_discarding_value: Cell::new(false),
             command_began_at: Cell::new(None),
             unknown_commands: Cell::new(0),
             last_used_at: Cell::new(now),
--- a/crates/router-runtime/src/downstream/commands.rs
+++ b/crates/router-runtime/src/downstream/commands.rs
@@ -3,13 +3,14 @@
 
 use super::client::Client;
 use super::connections::ClientConnections;
+use super::memory_wait::CompletedWait;
 use super::responses::{AwaitedResponse, PendingResponse, RequestRecord};
+use crate::clock::to_micros;
 use crate::environment::Environment;
-use crate::memory_budget::MemoryReservation;
 use crate::request::{ClientRequest, SubmittedRequest};
 use crate::resp::{Command, CommandError, CommandFrame};
 use bytes::Bytes;
-use load_balancer::{ClassId, Idempotency, Micros, TenantId};
+use load_balancer::{Class, ClassId, Idempotency, Micros, TenantId};
 use md5::{Digest, Md5};
 use std::rc::Rc;
 
@@ -43,13 +44,13 @@
         &self,
         frame: CommandFrame,
         client: &Rc<Client>,
-        memory: Option<MemoryReservation>,
+        wait: CompletedWait,
     ) -> PendingResponse {
-        if let Some(memory) = &memory {
+        if let Some(memory) = &wait.memory {
             memory.complete();
         }
         match &frame.arguments[0].to_ascii_uppercase()[..] {
-            b"C.GET" | b"C.SET" => match self.submit(frame, client, memory) {
+            b"C.GET" | b"C.SET" => match self.submit(frame, client, wait) {
                 Ok(awaited) => PendingResponse::Awaited(awaited),
                 // The connection stays open: the client may be resending what it lost with another
                 // connection.
@@ -82,10 +83,16 @@
         &self,
         frame: CommandFrame,
         client: &Rc<Client>,
-        memory: Option<MemoryReservation>,
+        wait: CompletedWait,
     ) -> Result<AwaitedResponse, RequestError> {
-        let command = Command::new(frame)?.with_memory(memory);
-        let request = self.client_request(command, client)?;
+        let command = Command::new(frame)?.with_memory(wait.memory);
+        let mut request = self.client_request(command, client)?;
+        let waited_for = to_micros(wait.waited_for);
+        request.timeout = match request.command.is_value_discarded() {
+            // Never sent, as its time is over.
+            true => Micros(0),
+            false => Micros(request.timeout.0.saturating_sub(waited_for.0)),
+        };
         let class = request.class;
         let submitted = self.config.requests.submit(request);
         let SubmittedRequest { id, response } = submitted.ok_or(RequestError::DuplicateId)?;
@@ -106,13 +113,7 @@
             .and_then(|name| name_index(&names.classes, name))
             .ok_or(RequestError::UnknownClass)?;
         let settings = &self.config.classes[class];
-        // Without a `d` field, or with more than the class allows, the deadline of the class
-        // applies. A client with less than a millisecond left sends 0, which is not an error, as
-        // its connection carries further requests.
-        let timeout = match command.number("d").transpose()? {
-            Some(millis) => Micros::from_millis(millis).min(settings.deadline),
-            None => settings.deadline,
-        };
+        let timeout = request_timeout(settings, command.number("d").transpose()?);
         let is_keyed = matches!(settings.idempotency, Idempotency::Keyed { .. });
         if is_keyed && command.field("k").is_none() {
             return Err(RequestError::NoIdempotencyKey);
@@ -134,13 +135,22 @@
     }
 }
 
+/// How long the client waits for a request of this class. Without a `d` field, in milliseconds, or
+/// with more than the class allows, the deadline of the class applies. A client with less than a
+/// millisecond left sends 0, which is not an error, as its connection carries further requests.
+pub(super) fn request_timeout(class: &Class, millis: Option<u64>) -> Micros {
+    millis.map_or(class.deadline, |millis| {
+        Micros::from_millis(millis).min(class.deadline)
+    })
+}
+
 /// An error reply to the client; the text begins with its kind, such as `ERR`.
 pub(super) fn error_line(text: &str) -> Bytes {
     Bytes::from(format!("-{text}\r\n"))
 }
 
 /// The index of a name in the settings.
-fn name_index(names: &[String], name: &str) -> Option<usize> {
+pub(super) fn name_index(names: &[String], name: &str) -> Option<usize> {
     names.iter().position(|known| known == name)
 }
 
--- a/crates/router-runtime/src/downstream/connection.rs
+++ b/crates/router-runtime/src/downstream/connection.rs
@@ -147,11 +147,15 @@
     ) -> ControlFlow<ReadEnd> {
         while self.may_read_command(client) {
             let response = match input.reader.next(&mut input.buffer) {
-                Ok(Some(arguments)) => self.handle_command(arguments, client, input.memory.take()),
+                Ok(Some(arguments)) => {
+                    let wait = input.complete_wait(self.environment.now());
+                    self.handle_command(arguments, client, wait)
+                }
                 Ok(None) => break,
                 Err(error) => PendingResponse::Last(protocol_error(&error)),
             };
             client.has_sent_command.set(true);
+            client.is_discarding_value.set(false);
             client.command_began_at.set(None);
             client.has_unparsed_input.set(!input.is_empty());
             input.value_progress_at = None;
@@ -186,6 +190,7 @@
         client: &Client,
     ) -> ControlFlow<ReadEnd> {
         let has_memory = plan.has_memory;
+        let holds_memory = input.memory.is_some();
         let has_early_end = plan.early_end.is_some();
         let has_deadline = plan.deadline.is_some();
         let deadline = plan.deadline.unwrap_or_else(|| self.environment.now());
@@ -213,6 +218,7 @@
             () = self.environment.sleep_until(recheck_at), if must_recheck => {}
             () = client.changed.notified() => {}
             () = self.config.write_memory.freed(), if !has_memory => {}
+            () = self.config.write_memory.revoked(), if holds_memory => {}
         }
         ControlFlow::Continue(())
     }
--- a/crates/router-runtime/src/downstream/read_plan.rs
+++ b/crates/router-runtime/src/downstream/read_plan.rs
@@ -4,12 +4,13 @@
 use super::client::{COMMAND_TIMEOUT, Client};
 use super::close::OUTPUT_CHECK_INTERVAL;
 use super::connections::ClientConnections;
+use super::memory_wait::MemoryWait;
 use super::responses::WRITE_STALL_TIMEOUT;
 use crate::clock::to_duration;
 use crate::environment::{Environment, ReadStream};
 use crate::memory_budget::MemoryReservation;
 use crate::mutation::hooks;
-use crate::resp::{CommandReader, READ_BYTES};
+use crate::resp::CommandReader;
 use bytes::BytesMut;
 use process_lifecycle::{FIRST_COMMAND_GRACE, IdleConnectionPolicy};
 use std::ops::ControlFlow;
@@ -48,6 +49,8 @@
     pub buffer: BytesMut,
     /// The memory of a long write.
     pub memory: Option<MemoryReservation>,
+    /// The wait of a long write for memory.
+    pub memory_wait: Option<MemoryWait>,
     /// When bytes of a write's value last arrived.
     pub value_progress_at: Option<Instant>,
 }
@@ -59,6 +62,7 @@
             reader: CommandReader::default(),
             buffer: unread,
             memory: None,
+            memory_wait: None,
             value_progress_at: None,
         }
     }
@@ -68,13 +72,6 @@
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty() && !self.reader.is_in_value()
     }
-
-    /// Whether the write memory has room for more of the command.
-    fn has_memory(&self) -> bool {
-        self.memory
-            .as_ref()
-            .is_none_or(MemoryReservation::may_read_more)
-    }
 }
 
 /// How the next bytes are read.
@@ -87,7 +84,8 @@
     pub early_end: Option<ReadEnd>,
     /// When the connection is closed unless further bytes arrive.
     pub deadline: Option<Instant>,
-    /// When to decide again, because the client has not taken all of its responses yet.
+    /// When to decide again, because the client has not taken all of its responses yet, or because
+    /// the command waits for memory.
     pub recheck_at: Option<Instant>,
 }
 
@@ -99,6 +97,10 @@
         if self.is_shutting_down() {
             return false;
         }
+        if client.is_discarding_value.get() {
+            // The value cannot be handed over, and the command has to be answered.
+            return true;
+        }
         let lifecycle = self.lifecycle();
         if lifecycle.hands_over_connections() || !lifecycle.is_drained() {
             client.is_closing_for_drain.set(false);
@@ -133,7 +135,8 @@
         let policy = self.lifecycle().idle_connection_policy();
         let has_pending = client.has_pending_responses();
         let may_read = self.may_read_command(client) && !client.is_streaming.get();
-        if policy == IdleConnectionPolicy::HandOver && !has_pending {
+        let can_hand_over = !has_pending && !input.reader.is_discarding_value();
+        if policy == IdleConnectionPolicy::HandOver && can_hand_over {
             let reader = std::mem::take(&mut input.reader);
             let unread = reader.into_unread(std::mem::take(&mut input.buffer));
             return ControlFlow::Break(ReadEnd::HandOver(unread));
@@ -145,19 +148,23 @@
             // The client sends the rest of its pipeline again.
             return ControlFlow::Break(ReadEnd::CloseAfterDiscard);
         }
-        self.reserve(input);
-        let has_memory = input.has_memory();
+        let reserved = self.reserve(stream, input, client);
+        let has_memory = reserved.is_ok();
+        if input.reader.is_in_value() && input.value_progress_at.is_none() {
+            input.value_progress_at = Some(self.environment.now());
+        }
         let deadline = if may_read && has_memory {
             self.read_deadline(input, policy, client)
         } else {
             None
         };
+        let recheck_at = is_receiving.then(|| self.environment.now() + OUTPUT_CHECK_INTERVAL);
         ControlFlow::Continue(ReadPlan {
             may_read,
             has_memory,
             early_end: early_end.filter(|_| !is_receiving),
             deadline,
-            recheck_at: is_receiving.then(|| self.environment.now() + OUTPUT_CHECK_INTERVAL),
+            recheck_at: recheck_at.into_iter().chain(reserved.err()).min(),
         })
     }
 
@@ -179,22 +186,6 @@
         true
     }
 
-    /// Reserves buffer capacity for the rest of the command, and counts a long write against the
-    /// write memory.
-    fn reserve(&self, input: &mut CommandInput) {
-        let missing = input.reader.missing_bytes(&input.buffer);
-        if missing > READ_BYTES && input.memory.is_none() {
-            let arrived = input.reader.held_bytes() + input.buffer.len();
-            input.memory = Some(self.config.write_memory.reserve(arrived));
-        }
-        input
-            .buffer
-            .reserve(input.reader.wanted_capacity(&input.buffer));
-        if input.reader.is_in_value() && input.value_progress_at.is_none() {
-            input.value_progress_at = Some(self.environment.now());
-        }
-    }
-
     /// When a client that sends nothing more is closed; `None` while pending responses keep its
     /// connection open.
     fn read_deadline(
--- a/crates/router-runtime/src/environment.rs
+++ b/crates/router-runtime/src/environment.rs
@@ -96,6 +96,9 @@
     /// that are still unread. A close behind more bytes than the system buffers is not noticed yet.
     fn has_peer_closed(&self) -> bool;
 
+    /// How many bytes have arrived and are not read yet; 0 if the system does not tell.
+    fn unread_bytes(&self) -> usize;
+
     /// Whether written bytes wait in this machine's send buffer for the peer to make room for them.
     /// They are lost if the connection is closed and the peer then sends anything, which is answered
     /// with a reset.
--- a/crates/router-runtime/src/memory_budget.rs
+++ b/crates/router-runtime/src/memory_budget.rs
@@ -3,12 +3,13 @@
 //!
 //! A budget keeps more values from arriving than fit in memory, and keeps unfinished values from
 //! deadlocking by holding all of it. Past the budget, only the oldest unfinished value is read on,
-//! by at most one maximum-size value, so that one always finishes; the others wait. The budget is
+//! by at most one maximum-size value, so that one always finishes; the others wait. A value of which
+//! nothing arrives can be made to give its memory up for those that wait. The budget is
 //! single-threaded: no borrow is held across an await.
 
 use crate::resp::MAX_VALUE_BYTES;
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -25,9 +26,23 @@
     limit_bytes: usize,
     used_bytes: Cell<usize>,
     last_sequence: Cell<u64>,
-    /// The sequence numbers of unfinished values, the oldest first.
-    unfinished: RefCell<BTreeSet<u64>>,
+    /// How often bytes have arrived for any value.
+    arrival_count: Cell<u64>,
+    /// Unfinished values by sequence number, the oldest first.
+    unfinished: RefCell<BTreeMap<u64, Rc<Progress>>>,
     freed: Notify,
+    revoked: Notify,
+}
+
+/// How an unfinished value arrives.
+#[derive(Debug)]
+struct Progress {
+    /// The number of the last arrival, counted over all values of the budget.
+    last_arrival: Cell<u64>,
+    /// Bytes of it have arrived at this machine that are not read for lack of memory.
+    has_unread_input: Cell<bool>,
+    /// It has to give its memory up.
+    is_revoked: Cell<bool>,
 }
 
 /// The memory reserved for one value, released on drop.
@@ -36,6 +51,7 @@
     budget: Rc<MemoryBudget>,
     sequence: u64,
     bytes: usize,
+    progress: Rc<Progress>,
 }
 
 impl MemoryBudget {
@@ -51,8 +67,10 @@
             limit_bytes,
             used_bytes: Cell::new(0),
             last_sequence: Cell::new(0),
+            arrival_count: Cell::new(0),
             unfinished: RefCell::default(),
             freed: Notify::new(),
+            revoked: Notify::new(),
         })
     }
 
@@ -60,11 +78,19 @@
     pub fn reserve(self: &Rc<Self>, arrived: usize) -> MemoryReservation {
         let sequence = self.last_sequence.get() + 1;
         self.last_sequence.set(sequence);
-        self.unfinished.borrow_mut().insert(sequence);
+        let progress = Rc::new(Progress {
+            last_arrival: Cell::new(0),
+            has_unread_input: Cell::new(false),
+            is_revoked: Cell::new(false),
+        });
+        self.unfinished
+            .borrow_mut()
+            .insert(sequence, progress.clone());
         let mut reservation = MemoryReservation {
             budget: self.clone(),
             sequence,
             bytes: 0,
+            progress,
         };
         reservation.add(arrived);
         reservation
@@ -76,6 +102,36 @@
         self.freed.notified().await;
     }
 
+    /// Completes when a value has to give its memory up, which [`MemoryReservation::is_revoked`]
+    /// tells.
+    pub async fn revoked(&self) {
+        self.revoked.notified().await;
+    }
+
+    /// How often bytes have arrived for any value, to be passed to
+    /// [`MemoryBudget::revoke_stalled`].
+    pub fn arrival_count(&self) -> u64 {
+        self.arrival_count.get()
+    }
+
+    /// Revokes the reservation of the value that has been without bytes for the longest, if none
+    /// have arrived since `arrival_count` was read; false if there is no such value. A value whose
+    /// bytes wait to be read is not stalled.
+    pub fn revoke_stalled(&self, arrival_count: u64) -> bool {
+        let unfinished = self.unfinished.borrow();
+        let stalled = unfinished
+            .values()
+            .filter(|value| !value.has_unread_input.get() && !value.is_revoked.get())
+            .filter(|value| value.last_arrival.get() <= arrival_count)
+            .min_by_key(|value| value.last_arrival.get());
+        let Some(value) = stalled else {
+            return false;
+        };
+        value.is_revoked.set(true);
+        self.revoked.notify_waiters();
+        true
+    }
+
     /// The budget, in bytes.
     pub fn limit_bytes(&self) -> usize {
         self.limit_bytes
@@ -92,7 +148,10 @@
     }
 
     fn is_oldest_unfinished(&self, sequence: u64) -> bool {
-        self.unfinished.borrow().first() == Some(&sequence)
+        let unfinished = self.unfinished.borrow();
+        unfinished
+            .first_key_value()
+            .is_some_and(|(&oldest, _)| oldest == sequence)
     }
 }
 
@@ -110,7 +169,22 @@
     /// Records that more of the value has arrived.
     pub fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
-        self.budget.used_bytes.set(self.budget.used_bytes() + bytes);
+        let budget = &self.budget;
+        budget.used_bytes.set(budget.used_bytes() + bytes);
+        budget.arrival_count.set(budget.arrival_count() + 1);
+        self.progress.last_arrival.set(budget.arrival_count());
+    }
+
+    /// Records whether bytes of the value have arrived at this machine that are not read for lack of
+    /// memory.
+    pub fn set_unread_input(&self, has_unread_input: bool) {
+        self.progress.has_unread_input.set(has_unread_input);
+    }
+
+    /// Whether the value has to give its memory up. The reservation is then to be dropped, and the
+    /// rest of the value to be discarded.
+    pub fn is_revoked(&self) -> bool {
+        self.progress.is_revoked.get()
     }
 
     /// Marks the value as finished; its memory stays in use until the reservation is dropped.
--- a/crates/router-runtime/src/resp.rs
+++ b/crates/router-runtime/src/resp.rs
@@ -9,7 +9,9 @@
 mod long_value;
 mod reply;
 
-pub use command::{Command, CommandError, CommandFrame, CommandReader, EncodedCommand};
+pub use command::{
+    Command, CommandError, CommandFrame, CommandReader, EncodedCommand, field, number,
+};
 pub use long_value::{LongValue, LongValueReader, ValuePart};
 pub use reply::{LoadReportText, Reply, ReplyReader};
 
--- a/crates/router-runtime/src/resp/command.rs
+++ b/crates/router-runtime/src/resp/command.rs
@@ -55,13 +55,15 @@
     pub arguments: Vec<Bytes>,
     /// The value of a write if it is long, in chunks.
     pub long_value: Vec<Bytes>,
+    /// The value of this write was discarded: it has neither a long value nor an argument for it.
+    pub is_value_discarded: bool,
 }
 
 impl From<Vec<Bytes>> for CommandFrame {
     fn from(arguments: Vec<Bytes>) -> Self {
         CommandFrame {
             arguments,
-            long_value: Vec::new(),
+            ..CommandFrame::default()
         }
     }
 }
@@ -77,6 +79,8 @@
     position: usize,
     /// The write whose long value is arriving; its other arguments are no longer in the buffer.
     long_write: Option<LongWrite>,
+    /// The value of the current command is not kept.
+    discards_value: bool,
 }
 
 /// A write whose long value is arriving. The value is held in full chunks, each in its own
@@ -115,7 +119,34 @@
             self.arguments.push(argument_end - length..argument_end);
             self.position = argument.end;
         }
-        Ok(Some(self.take_arguments(buffer).into()))
+        let mut frame = CommandFrame::from(self.take_arguments(buffer));
+        if std::mem::take(&mut self.discards_value) && frame.arguments.len() == VALUE + 1 {
+            frame.arguments.truncate(VALUE);
+            frame.is_value_discarded = true;
+        }
+        Ok(Some(frame))
+    }
+
+    /// Gives up what is held of the current command's value, and discards the rest of it.
+    pub fn discard_value(&mut self) {
+        self.discards_value = true;
+        if let Some(write) = &mut self.long_write {
+            write.frame.long_value.clear();
+        }
+    }
+
+    /// Whether the value of the current command is discarded.
+    pub fn is_discarding_value(&self) -> bool {
+        self.discards_value
+    }
+
+    /// The fields of the write whose value is arriving; `None` if none is.
+    pub fn write_fields<'a>(&'a self, buffer: &'a [u8]) -> Option<&'a str> {
+        let fields = match &self.long_write {
+            Some(write) => write.frame.arguments.get(FIELDS)?,
+            None => buffer.get(self.arguments.get(FIELDS)?.clone())?,
+        };
+        std::str::from_utf8(fields).ok()
     }
 
     /// Takes the parsed arguments off the buffer.
@@ -171,8 +202,10 @@
             if buffer.len() < chunk {
                 return Ok(None);
             }
-            let bytes = buffer.split_to(chunk).freeze();
-            write.frame.long_value.push(bytes);
+            let bytes = buffer.split_to(chunk);
+            if !self.discards_value {
+                write.frame.long_value.push(bytes.freeze());
+            }
             write.remaining_bytes -= chunk;
         }
         match buffer.get(..LINE_END.len()) {
@@ -180,7 +213,11 @@
             Some(_) => return Err(RespError::Malformed),
             None => return Ok(None),
         }
-        Ok(self.long_write.take().map(|write| write.frame))
+        let is_value_discarded = std::mem::take(&mut self.discards_value);
+        Ok(self.long_write.take().map(|write| CommandFrame {
+            is_value_discarded,
+            ..write.frame
+        }))
     }
 
     /// Parses the number of arguments; returns false if it has not arrived yet.
@@ -288,6 +325,8 @@
     arguments: Vec<Bytes>,
     /// A long value, in chunks.
     long_value: Vec<Bytes>,
+    /// The value of this write was discarded, so that it cannot be sent.
+    is_value_discarded: bool,
     /// The memory of a long value, released together with it.
     memory: Option<Rc<MemoryReservation>>,
 }
@@ -312,10 +351,11 @@
         let CommandFrame {
             arguments,
             long_value,
+            is_value_discarded,
         } = frame.into();
         let is_write = is_write_name(&arguments[0]);
-        let has_long_value = !long_value.is_empty();
-        let argument_count = if is_write && !has_long_value {
+        let is_value_apart = is_value_discarded || !long_value.is_empty();
+        let argument_count = if is_write && !is_value_apart {
             VALUE + 1
         } else {
             FIELDS + 1
@@ -331,6 +371,7 @@
         let command = Command {
             arguments,
             long_value,
+            is_value_discarded,
             memory: None,
         };
         command.check_fields()?;
@@ -367,7 +408,12 @@
 
     /// Whether the command is a write.
     pub fn is_write(&self) -> bool {
-        self.arguments.len() > VALUE || !self.long_value.is_empty()
+        self.arguments.len() > VALUE || !self.long_value.is_empty() || self.is_value_discarded
+    }
+
+    /// Whether the value of this write was discarded, so that it cannot be sent.
+    pub fn is_value_discarded(&self) -> bool {
+        self.is_value_discarded
     }
 
     /// The key.
@@ -392,18 +438,13 @@
 
     /// The value of a field.
     pub fn field(&self, name: &str) -> Option<&str> {
-        self.fields()
-            .split(',')
-            .filter_map(|pair| pair.split_once('='))
-            .find(|pair| pair.0 == name)
-            .map(|pair| pair.1)
+        field(self.fields(), name)
     }
 
     /// The value of a numeric field, which must consist of digits; a number that does not fit
     /// becomes the largest `u64`.
     pub fn number(&self, name: &str) -> Option<Result<u64, CommandError>> {
-        let text = self.field(name)?;
-        Some(parse_number(text.as_bytes()).ok_or(CommandError::Number))
+        number(self.fields(), name)
     }
 
     /// Encodes the command for a cache server. Only the field `d` changes, to how long the router
@@ -474,6 +515,22 @@
     }
 }
 
+/// The value of a field in a list of fields.
+pub fn field<'a>(fields: &'a str, name: &str) -> Option<&'a str> {
+    fields
+        .split(',')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|pair| pair.0 == name)
+        .map(|pair| pair.1)
+}
+
+/// The value of a numeric field in a list of fields, which must consist of digits; a number that
+/// does not fit becomes the largest `u64`.
+pub fn number(fields: &str, name: &str) -> Option<Result<u64, CommandError>> {
+    let text = field(fields, name)?;
+    Some(parse_number(text.as_bytes()).ok_or(CommandError::Number))
+}
+
 fn is_write_name(name: impl AsRef<[u8]>) -> bool {
     name.as_ref().eq_ignore_ascii_case(b"C.SET")
 }
--- a/crates/router-runtime/src/tokio_environment.rs
+++ b/crates/router-runtime/src/tokio_environment.rs
@@ -83,6 +83,12 @@
         matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
     }
 
+    fn unread_bytes(&self) -> usize {
+        let stream: &TcpStream = self.as_ref();
+        let count = rustix::io::ioctl_fionread(stream).unwrap_or_default();
+        usize::try_from(count).unwrap_or(usize::MAX)
+    }
+
     fn has_unsent_output(&self) -> bool {
         let stream: &TcpStream = self.as_ref();
         // With this option a socket is writable only while no written byte is unsent.
--- a/crates/router-runtime/tests/resp_command.rs
+++ b/crates/router-runtime/tests/resp_command.rs
@@ -174,3 +174,31 @@
         "*5\r\n$5\r\nC.SET\r\n$2\r\nk1\r\n$3\r\nid1\r\n$24\r\nc=put,t=acme,d=31,k=5c0f\r\n$1\r\nv\r\n"
     );
 }
+
+/// Guards against input that is parsed wrongly after the value of a write has been given up.
+#[test]
+fn a_discarded_value_leaves_its_command_and_the_next_one_intact() {
+    for value_bytes in [5_000, CHUNK_BYTES, 3 * CHUNK_BYTES + 17] {
+        let value = vec![b'v'; value_bytes];
+        let arguments = [&b"C.SET"[..], b"k", b"id", b"c=put,d=5", &value].map(<[u8]>::to_vec);
+        let text = encode_array(&arguments);
+        for discarded_at in [200, value_bytes / 2, text.len() - 1] {
+            let mut reader = CommandReader::default();
+            let mut buffer = BytesMut::from(&text[..discarded_at]);
+            assert_eq!(reader.next(&mut buffer), Ok(None));
+            assert_eq!(reader.write_fields(&buffer), Some("c=put,d=5"));
+            reader.discard_value();
+            assert_eq!(reader.held_bytes(), 0);
+            buffer.extend_from_slice(&text[discarded_at..]);
+            buffer.extend_from_slice(&text);
+            let frame = reader.next(&mut buffer).unwrap().expect("no command");
+            assert!(frame.is_value_discarded && frame.long_value.is_empty());
+            assert!(frame.arguments == arguments[..4]);
+            let command = Command::new(frame).expect("no write");
+            assert!(command.is_write() && command.is_value_discarded());
+            let next = reader.next(&mut buffer).unwrap().expect("no next command");
+            assert!(!next.is_value_discarded);
+            assert!(!Command::new(next).unwrap().is_value_discarded());
+        }
+    }
+}
--- a/crates/router-simulation/src/network/stream.rs
+++ b/crates/router-simulation/src/network/stream.rs
@@ -235,6 +235,12 @@
         inbound.borrow().is_closed()
     }
 
+    fn unread_bytes(&self) -> usize {
+        let stream = self.0;
+        let inbound = stream.connection.pipe(stream.side.other());
+        inbound.borrow().buffer.len()
+    }
+
     /// The peer's window has room for all bytes that a write accepts.
     fn has_unsent_output(&self) -> bool {
         false
