Recognize a reply that repeats an earlier one on its connection

Callers saw (two records of the operators, five requests): a value that no server had made for the request, 1 to 2 ms after it was sent; the server turned the request away 24 to 26 ms after its last byte.

Cause: replies carry no request id, and a connection was used again 7 ms and a round trip after its last reply. A second reply that came later passed for the reply to the next command; a second -BUSY let a write run twice. Evidence: a stand-in that repeats a reply when the next command comes, and turns that one away 25 ms later, shows the record (the earlier request's value at once). Ruled out with stand-ins: a -BUSY that takes 25 ms, replies to expired and abandoned attempts. The bytes of the records are not known, so that theirs was a second reply is suspected, not shown.

Change (upstream/repeated_reply.rs): a connection remembers digests of its replies. Behind a reply that repeats one, SELECT 0 is sent; its +OK comes behind all replies to commands before it, so a second reply shows, however late it is. The end of a streamed value is held back as long.

--- a/crates/router-runtime/src/resp.rs
+++ b/crates/router-runtime/src/resp.rs
@@ -5,6 +5,7 @@
 //! an oversized frame by its header.
 
 mod command;
+mod digest;
 mod frame;
 mod long_value;
 mod reply;
@@ -12,6 +13,7 @@
 pub use command::{
     Command, CommandError, CommandFrame, CommandReader, EncodedCommand, field, number,
 };
+pub use digest::Digest;
 pub use long_value::{LongValue, LongValueReader, ValuePart};
 pub use reply::{LoadReportText, Reply, ReplyReader};
 
--- a/crates/router-runtime/src/resp/reply.rs
+++ b/crates/router-runtime/src/resp/reply.rs
@@ -1,6 +1,7 @@
 //! The reply of a cache server to one command: a value or receipt, or an error, with its load
 //! report.
 
+use super::digest::Digest;
 use super::frame::{LINE_END, first_line_length, is_printable, parse_bulk_string, parse_header};
 use super::{MAX_VALUE_BYTES, RespError};
 use bytes::{Bytes, BytesMut};
@@ -34,6 +35,27 @@
     Busy(LoadReportText),
 }
 
+impl Reply {
+    /// The digest of this reply.
+    pub fn digest(&self) -> Digest {
+        let mut digest = Digest::default();
+        self.add_to(&mut digest);
+        digest
+    }
+
+    /// Adds this reply, or the end of a long one, to a digest. Of an error that is its kind and its
+    /// load report.
+    pub fn add_to(&self, digest: &mut Digest) {
+        let (kind, report) = match self {
+            Reply::Served { bytes, .. } => return digest.add(bytes),
+            Reply::Failed(report) => (&b"-ERR "[..], report),
+            Reply::Busy(report) => (&b"-BUSY "[..], report),
+        };
+        digest.add(kind);
+        digest.add(report.as_deref().unwrap_or_default());
+    }
+}
+
 /// Parses one reply.
 #[derive(Debug, Default)]
 pub struct ReplyReader {
--- a/crates/router-runtime/src/upstream.rs
+++ b/crates/router-runtime/src/upstream.rs
@@ -6,6 +6,7 @@
 mod attempt;
 mod connection;
 mod pool;
+mod repeated_reply;
 mod response;
 
 pub use attempt::{AttemptContext, AttemptDeadlines, AttemptOwner, AttemptResult, BodyConsumer};
--- a/crates/router-runtime/src/upstream/connection.rs
+++ b/crates/router-runtime/src/upstream/connection.rs
@@ -2,6 +2,7 @@
 
 use super::attempt::AttemptContext;
 use super::pool::UpstreamPools;
+use super::repeated_reply::ReplyHistory;
 use crate::environment::{Environment, Stream};
 use crate::socket_error::{connect_with_retry, is_local_failure};
 use bytes::BytesMut;
@@ -34,6 +35,10 @@
     pub round_trip: Duration,
     /// Whether a command was written to it, so that the rest of a response may still arrive.
     pub is_used: bool,
+    /// The replies that have arrived on it.
+    pub history: ReplyHistory,
+    /// Whether it may be used again.
+    pub is_reusable: bool,
     /// Its connection slot, released on drop.
     _slot: OwnedSemaphorePermit,
 }
@@ -126,6 +131,8 @@
             process,
             round_trip: self.elapsed_since(started),
             is_used: false,
+            history: ReplyHistory::default(),
+            is_reusable: true,
             _slot: slot,
         }))
     }
--- a/crates/router-runtime/src/upstream/pool.rs
+++ b/crates/router-runtime/src/upstream/pool.rs
@@ -21,9 +21,9 @@
 /// is written just as the server closes the connection ends with a reset, and may have been
 /// executed.
 const IDLE_LIFETIME_RATIO: f64 = 0.8;
-/// A connection is not reused until this time and one round trip after its last response. Excess
-/// bytes that a server writes after a response arrive by then; later they would be taken for the
-/// next response, since responses carry no request id.
+/// A connection is not reused until this time and one round trip after its last response. Most excess
+/// bytes that a server writes after a response arrive by then, and the connection is closed. Those
+/// that come later cost more ([`super::repeated_reply`]).
 const SETTLE_TIME: Duration = Duration::from_millis(7);
 /// How often idle connections are checked.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -232,8 +232,12 @@
         None
     }
 
-    /// Returns a connection to its pool, or closes it if the list names another process by now.
+    /// Returns a connection to its pool, or closes it if it cannot be used again or the list names
+    /// another process by now.
     pub(super) fn put_back(&self, server: &ServerId, mut connection: Connection<E>) {
+        if !connection.is_reusable || connection.history.is_full() {
+            return;
+        }
         connection.received = BytesMut::new();
         let mut pools = self.pools.borrow_mut();
         let pool = pools
--- a/crates/router-runtime/src/upstream/response.rs
+++ b/crates/router-runtime/src/upstream/response.rs
@@ -8,12 +8,13 @@
 use super::attempt::{AttemptContext, AttemptResult, BodyConsumer};
 use super::connection::Connection;
 use super::pool::UpstreamPools;
+use super::repeated_reply::UnknownReply;
 use crate::environment::Environment;
 use crate::memory_budget::MemoryReservation;
 use crate::mutation::hooks;
 use crate::request::{Answer, BodyChunk};
 use crate::resp::{
-    LoadReportText, LongValue, LongValueReader, READ_BYTES, Reply, ReplyReader, ValuePart,
+    Digest, LoadReportText, LongValue, LongValueReader, READ_BYTES, Reply, ReplyReader, ValuePart,
 };
 use bytes::Bytes;
 use load_balancer::{ConnectionUse, LoadReport, Outcome, ServerId};
@@ -34,7 +35,7 @@
 const SERVER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Result of a wait for more bytes of a response.
-enum ReadResult {
+pub(super) enum ReadResult {
     /// Bytes arrived.
     Received,
     /// The attempt's deadline was extended during the wait.
@@ -93,7 +94,16 @@
                 }
             }
             match reader.next(&mut connection.received) {
-                Ok(Some(reply)) => return self.reply_received(server, connection, reply),
+                Ok(Some(reply)) => {
+                    return match self
+                        .own_reply(server, &mut connection, reply, context)
+                        .await
+                    {
+                        Ok(reply) => self.reply_received(server, connection, reply),
+                        Err(UnknownReply::TimedOut) => self.timed_out(server, connection, true),
+                        Err(UnknownReply::Ambiguous) => connection_lost(true),
+                    };
+                }
                 Ok(None) => {}
                 Err(_) => return connection_lost(true),
             }
@@ -155,7 +165,7 @@
     }
 
     /// Waits for `read` until the attempt's deadline, or for at most `pause`.
-    async fn read_more(
+    pub(super) async fn read_more(
         &self,
         read: impl Future<Output = io::Result<usize>>,
         context: &AttemptContext,
@@ -185,10 +195,12 @@
         let LongValue { head, mut reader } = long_value;
         let mut rest = Vec::new();
         let mut memory = self.answer_memory.reserve(connection.received.len());
+        let mut digest = Digest::of(&head);
         let reply = loop {
             match reader.next_full_chunk(&mut connection.received) {
                 Ok(Some(ValuePart::Last(reply))) => break reply,
                 Ok(Some(ValuePart::Bytes(chunk))) => {
+                    digest.add(&chunk);
                     rest.push(chunk);
                     continue;
                 }
@@ -209,6 +221,14 @@
             }
         };
         memory.complete();
+        reply.add_to(&mut digest);
+        let read_by = context.deadlines.deadline();
+        if !self
+            .is_own_long_reply(server, &mut connection, context, digest, read_by)
+            .await
+        {
+            return connection_lost(true);
+        }
         let result = self.reply_received(server, connection, reply);
         let answer = result.answer.map(|last| {
             rest.push(last.bytes);
@@ -246,9 +266,7 @@
         context: &AttemptContext,
     ) -> AttemptResult {
         let streaming_since = self.environment.now();
-        let time_to_first_byte = streaming_since.saturating_duration_since(value.sent_at);
-        let on_stall = || context.client_stalled(time_to_first_byte);
-        let result = self.stream_value(server, connection, value, on_stall).await;
+        let result = self.stream_value(server, connection, value, context).await;
         AttemptResult {
             streaming_since: Some(streaming_since),
             ..result
@@ -262,18 +280,23 @@
         server: &ServerId,
         mut connection: Connection<E>,
         value: ValueStream,
-        on_stall: impl FnOnce(),
+        context: &AttemptContext,
     ) -> AttemptResult {
         let ValueStream {
-            long_value, chunks, ..
+            sent_at,
+            long_value,
+            chunks,
         } = value;
+        let time_to_first_byte = self.elapsed_since(sent_at);
         let mut reader = long_value.reader;
+        let mut digest = Digest::default();
         let mut part = ValuePart::Bytes(long_value.head);
-        let mut on_stall = Some(on_stall);
+        let mut on_stall = Some(|| context.client_stalled(time_to_first_byte));
         let reply = loop {
             match part {
                 ValuePart::Last(reply) => break reply,
                 ValuePart::Bytes(chunk) => {
+                    digest.add(&chunk);
                     let sent = self.send_chunk(&chunks, chunk, &mut on_stall).await;
                     if let Err(ClientDisconnected) = sent {
                         return Outcome::Cancelled.into();
@@ -291,6 +314,15 @@
                 () = chunks.closed() => return Outcome::Cancelled.into(),
             };
         };
+        reply.add_to(&mut digest);
+        // A client sees that the value is not its own if the end is missing.
+        let read_by = self.environment.now() + self.limits.connect_timeout;
+        if !self
+            .is_own_long_reply(server, &mut connection, context, digest, read_by)
+            .await
+        {
+            return connection_lost(true);
+        }
         let result = self.attempt_result(reply);
         if let Some(last) = &result.answer
             && chunks
--- a/crates/router-simulation/src/fleet/server.rs
+++ b/crates/router-simulation/src/fleet/server.rs
@@ -8,7 +8,7 @@
 use crate::network::SimulatedStream;
 use crate::simulation::{Subnet, address};
 use crate::wire::{
-    CacheRequest, Command, DecodedFrame, Frame, FrameDecoder, served_reply, value_for,
+    CacheRequest, Command, DecodedFrame, Frame, FrameDecoder, SELECTED, served_reply, value_for,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -168,7 +168,14 @@
             if std::mem::take(&mut is_first_request) {
                 executor.sleep(self.fleet.plan.handshake_time).await;
             }
-            let Command::CacheRequest(request) = Command::parse(&frame) else {
+            let command = Command::parse(&frame);
+            if command == Command::Select {
+                if stream.write_all(SELECTED).await.is_err() {
+                    return;
+                }
+                continue;
+            }
+            let Command::CacheRequest(request) = command else {
                 // An error means that the router has closed the connection.
                 let _ = stream.write_all(b"-SYNTAX\r\n").await;
                 return;
--- a/crates/router-simulation/src/invariant_checker/answers.rs
+++ b/crates/router-simulation/src/invariant_checker/answers.rs
@@ -80,7 +80,7 @@
                 Expected::Answer(call.id)
             }
             Command::Ping => Expected::Pong,
-            Command::CacheRequest(_) | Command::Other => Expected::ErrorOrClose,
+            Command::CacheRequest(_) | Command::Select | Command::Other => Expected::ErrorOrClose,
         }
     }
 
--- a/crates/router-simulation/src/scenario/cache_server.rs
+++ b/crates/router-simulation/src/scenario/cache_server.rs
@@ -2,7 +2,9 @@
 
 use crate::executor::{Executor, Node, Time};
 use crate::network::{Network, SimulatedStream};
-use crate::wire::{CacheRequest, Command, DecodedFrame, FrameDecoder, served_reply, value_for};
+use crate::wire::{
+    CacheRequest, Command, DecodedFrame, FrameDecoder, SELECTED, served_reply, value_for,
+};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -108,6 +110,12 @@
         match frames.next(executor.now()) {
             Ok(Some(DecodedFrame { frame, .. })) => match Command::parse(&frame) {
                 Command::CacheRequest(request) => return Some(request),
+                Command::Select => {
+                    if stream.write_all(SELECTED).await.is_err() {
+                        return None;
+                    }
+                    continue;
+                }
                 Command::Ping | Command::Other => return None,
             },
             Ok(None) => {}
--- a/crates/router-simulation/src/wire.rs
+++ b/crates/router-simulation/src/wire.rs
@@ -195,6 +195,9 @@
     pub work_estimate: Option<u64>,
 }
 
+/// The reply to `SELECT`.
+pub const SELECTED: &[u8] = b"+OK\r\n";
+
 /// A decoded command.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Command {
@@ -202,6 +205,8 @@
     CacheRequest(CacheRequest),
     /// `PING`.
     Ping,
+    /// `SELECT`, which is answered with [`SELECTED`].
+    Select,
     /// Any other or malformed command.
     Other,
 }
@@ -226,6 +231,7 @@
         };
         let is_write = match arguments.first() {
             Some(&b"PING") => return Command::Ping,
+            Some(&b"SELECT") => return Command::Select,
             Some(&b"C.GET") if arguments.len() == 4 => false,
             Some(&b"C.SET") if arguments.len() == 5 => true,
             _ => return Command::Other,
--- a/crates/router-simulation/tests/rare_fault_scenarios.rs
+++ b/crates/router-simulation/tests/rare_fault_scenarios.rs
@@ -167,7 +167,7 @@
 /// request is sent up to 12 ms after the first reply, in steps of 200 us.
 #[test]
 fn a_late_duplicate_reply_is_not_taken_for_the_next_one() {
-    for delay_ms in [1, 3, 5, 6] {
+    for delay_ms in [1, 3, 5, 6, 8, 10, 20, 50] {
         for step in 0..60 {
             let scenario = Scenario::new(1, step);
             scenario.set_behavior(0, ServerBehavior::ServeTwice(5 * MILLI, delay_ms * MILLI));
--- a/crates/router-soak/src/server.rs
+++ b/crates/router-soak/src/server.rs
@@ -5,7 +5,7 @@
 use router_simulation::network::{CloseKind, Side};
 use router_simulation::rng::SeededRng;
 use router_simulation::wire::{
-    CacheRequest, Command, DecodedFrame, FrameDecoder, served_reply, value_for,
+    CacheRequest, Command, DecodedFrame, FrameDecoder, SELECTED, served_reply, value_for,
 };
 use socket2::SockRef;
 use std::cell::{Cell, RefCell};
@@ -142,7 +142,14 @@
         let mut is_new = true;
         loop {
             while let Ok(Some(DecodedFrame { frame, .. })) = frames.next(0) {
-                let Command::CacheRequest(request) = Command::parse(&frame) else {
+                let command = Command::parse(&frame);
+                if command == Command::Select {
+                    if stream.write_all(SELECTED).await.is_err() {
+                        return;
+                    }
+                    continue;
+                }
+                let Command::CacheRequest(request) = command else {
                     return;
                 };
                 self.recorder.record_attempt(request.id);
--- a/crates/test-support/src/cache_server.rs
+++ b/crates/test-support/src/cache_server.rs
@@ -30,12 +30,27 @@
     /// Serves the first command of each connection, and closes the connection at the second command
     /// without a reply.
     CloseOnReuse,
+    /// Replies with the request's id as the value. The next command on the connection first gets the
+    /// same reply once more, as if that had been late, and its own reply after this many
+    /// milliseconds.
+    RepeatBeforeNextReply(u64, RepeatedReply),
     /// Never replies.
     StaySilent,
     /// Serves after [`CacheServer::open_gate`] is called.
     ServeOnceGateOpens,
 }
 
+/// The reply that [`Behavior::RepeatBeforeNextReply`] repeats, and what it gives the next command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RepeatedReply {
+    /// A value is repeated, and the next command is turned away.
+    ValueBeforeBusy,
+    /// A long value is repeated, and the next command is turned away.
+    LongValueBeforeBusy,
+    /// `-BUSY` is repeated, and the next command runs.
+    BusyBeforeValue,
+}
+
 /// A received command and its connection.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RecordedCommand {
@@ -120,11 +135,24 @@
         let mut reader = BufReader::new(stream.try_clone().expect("failed to clone the socket"));
         let mut writer = stream;
         let mut is_first_command = true;
+        let mut repeated = Vec::new();
         while let Some(frame) = read_frame(&mut reader) {
-            let behavior = self.record_command(connection, arguments(&frame));
+            let arguments = arguments(&frame);
+            if arguments[0] == "SELECT" {
+                if writer.write_all(b"+OK\r\n").is_err() {
+                    break;
+                }
+                continue;
+            }
+            let id = arguments.get(2).cloned().unwrap_or_default();
+            let behavior = self.record_command(connection, arguments);
             if matches!(behavior, Behavior::StaySilent) {
                 continue;
             }
+            if let Behavior::RepeatBeforeNextReply(millis, reply) = behavior {
+                reply_with_repeat(&mut writer, &id, millis, reply, &mut repeated);
+                continue;
+            }
             let stays_open = self.reply(&mut writer, behavior, is_first_command);
             is_first_command = false;
             if !stays_open {
@@ -190,6 +218,7 @@
                 }));
                 writer.write_all(&own_reply).is_ok()
             }
+            Behavior::RepeatBeforeNextReply(..) => unreachable!("handled by the caller"),
             Behavior::CloseOnReuse => is_first_command && writer.write_all(&own_reply).is_ok(),
             Behavior::StaySilent => true,
             Behavior::ServeOnceGateOpens => {
@@ -284,3 +313,33 @@
         endpoint_entry(&self.name, self.addr, health)
     }
 }
+
+/// Replies to a command on a connection on which `repeated` was replied last.
+fn reply_with_repeat(
+    writer: &mut TcpStream,
+    id: &str,
+    millis: u64,
+    reply: RepeatedReply,
+    repeated: &mut Vec<u8>,
+) {
+    const LONG_VALUE_LENGTH: usize = 100_000;
+    const BUSY: &[u8] = b"-BUSY\r\n";
+    let value = match reply {
+        RepeatedReply::LongValueBeforeBusy => value_reply(&id.repeat(LONG_VALUE_LENGTH / id.len())),
+        _ => value_reply(id),
+    };
+    let (first, second) = match reply {
+        RepeatedReply::BusyBeforeValue => (BUSY.to_vec(), value),
+        _ => (value, BUSY.to_vec()),
+    };
+    // The router may close the connection.
+    if repeated.is_empty() {
+        let _ = writer.write_all(&first);
+        *repeated = first;
+        return;
+    }
+    let _ = writer.write_all(repeated);
+    thread::sleep(Duration::from_millis(millis));
+    let _ = writer.write_all(&second);
+    repeated.clear();
+}
