Let a connection rest after a repeated error instead of sending a guard

Change: an error that repeats an earlier one is taken at once, as the command may have run whichever reply it is. The connection is not used until the time is over that the server was told, so that a reply behind a late second error is served to nobody.

--- a/crates/cache-router/tests/late_replies.rs
+++ b/crates/cache-router/tests/late_replies.rs
@@ -95,6 +95,23 @@
     assert_eq!(runs(&other, FIRST_KEY), runs_before.1 + 1, "{second}");
 }
 
+/// Guards against a late second error that is taken for the reply to a command, whose own reply is
+/// then served to the one after it.
+#[test]
+fn the_reply_behind_a_late_second_error_is_not_served_to_another_request() {
+    let server = server_that_repeats(RepeatedReply::ErrorBeforeValue);
+    let Fleet { router, .. } = start_router(&[&server]);
+    let mut client = router.client();
+    assert!(client.request("once", FIRST_KEY).starts_with("-ERR"));
+    std::thread::sleep(SETTLE_TIME);
+    assert!(client.request("once", SECOND_KEY).starts_with("-ERR"));
+    // Long enough for the connection to be used again, and shorter than the second reply takes.
+    std::thread::sleep(Duration::from_millis(12));
+    let third = client.request("once", FIRST_KEY);
+    let second_id = format!("id-{SECOND_KEY}-2");
+    assert!(!third.contains(&second_id), "{third}");
+}
+
 /// The same reply may be given to several commands; their connection is used on.
 #[test]
 fn replies_that_are_the_same_on_purpose_are_served() {
--- a/crates/router-runtime/src/upstream/connection.rs
+++ b/crates/router-runtime/src/upstream/connection.rs
@@ -9,7 +9,7 @@
 use load_balancer::{Outcome, ServerId};
 use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncReadExt;
 use tokio::sync::OwnedSemaphorePermit;
 
@@ -39,6 +39,8 @@
     pub history: ReplyHistory,
     /// Whether it may be used again.
     pub is_reusable: bool,
+    /// It is not used before this time, as a reply may still arrive.
+    pub rests_until: Option<Instant>,
     /// Its connection slot, released on drop.
     _slot: OwnedSemaphorePermit,
 }
@@ -133,6 +135,7 @@
             is_used: false,
             history: ReplyHistory::default(),
             is_reusable: true,
+            rests_until: None,
             _slot: slot,
         }))
     }
--- a/crates/router-runtime/src/upstream/pool.rs
+++ b/crates/router-runtime/src/upstream/pool.rs
@@ -214,8 +214,12 @@
     /// Whether excess bytes after the last response would have arrived by now.
     fn is_settled(&self, idle: &IdleUpstreamConnection<E>) -> bool {
         let connection = &idle.connection;
+        let is_resting = connection
+            .rests_until
+            .is_some_and(|until| self.environment.now() < until);
         !connection.is_used
-            || self.elapsed_since(idle.idle_since) >= SETTLE_TIME + connection.round_trip
+            || !is_resting
+                && self.elapsed_since(idle.idle_since) >= SETTLE_TIME + connection.round_trip
     }
 
     /// Takes the most recently used of the idle connections to a server that are settled, so that
--- a/crates/router-runtime/src/upstream/repeated_reply.rs
+++ b/crates/router-runtime/src/upstream/repeated_reply.rs
@@ -7,6 +7,9 @@
 //! commands before it. If the guard's reply comes next, the server has given the same reply twice
 //! on purpose. If another reply comes before it, that one belongs to the command. The key tells
 //! nothing: a server may give each read of a key a value of its own.
+//!
+//! An error is not held: the command may have run, whichever reply it is. Its connection rests until
+//! the time is over that the server was told, by which its own reply would have come.
 
 use super::attempt::AttemptContext;
 use super::connection::Connection;
@@ -74,6 +77,10 @@
             return Ok(first);
         }
         let write_by = context.deadlines.deadline();
+        if matches!(first, Reply::Failed(_)) {
+            connection.rests_until = Some(write_by);
+            return Ok(first);
+        }
         self.send_guard(server, connection, context, write_by)
             .await?;
         let later = self.read_to_guard(connection, context).await?;
--- a/crates/test-support/src/cache_server.rs
+++ b/crates/test-support/src/cache_server.rs
@@ -49,6 +49,8 @@
     LongValueBeforeBusy,
     /// `-BUSY` is repeated, and the next command runs.
     BusyBeforeValue,
+    /// `-ERR failed` is repeated, and the next command runs.
+    ErrorBeforeValue,
 }
 
 /// A received command and its connection.
@@ -329,6 +331,7 @@
         _ => value_reply(id),
     };
     let (first, second) = match reply {
+        RepeatedReply::ErrorBeforeValue => (b"-ERR failed\r\n".to_vec(), value),
         RepeatedReply::BusyBeforeValue => (BUSY.to_vec(), value),
         _ => (value, BUSY.to_vec()),
     };
