--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -324,10 +324,13 @@
 
 
 def memory_kb(process):
-    """Resident memory and its part that is neither a file's nor shared, in KB."""
-    with open(f"/proc/{process.pid}/status") as file:
-        fields = dict(line.split(":", 1) for line in file if ":" in line)
-    return int(fields["VmRSS"].split()[0]), int(fields["RssAnon"].split()[0])
+    """Resident memory and its part that is neither a file's nor shared, in KB; 0 of one that has ended."""
+    try:
+        with open(f"/proc/{process.pid}/status") as file:
+            fields = dict(line.split(":", 1) for line in file if ":" in line)
+    except OSError:
+        return 0, 0
+    return tuple(int(fields.get(name, "0").split()[0]) for name in ("VmRSS", "RssAnon"))
 
 
 async def connect(address, limit=16 << 20):
