--- a/review/6/case.py
+++ b/review/6/case.py
@@ -127,4 +127,4 @@
     return not twice and not late
 
 
-play(os.path.dirname(os.path.abspath(__file__)), case)
+play(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), case)
--- a/review/common-2/lab.py
+++ b/review/common-2/lab.py
@@ -26,10 +26,10 @@
 
 
 class Record:
-    """record.txt: what was sent, answered and run, with seconds since the start."""
+    """A record.txt: what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+    def __init__(self, path):
+        self.file = open(path, "w")
         self.start = time.monotonic()
         self.line(f"TROUBLE={'1' if TROUBLE else '0'}")
 
@@ -381,9 +381,10 @@
     raise CouldNotRun("the router did not get ready")
 
 
-def play(folder, case):
-    """Plays `case(record, platform)`, a coroutine that returns whether the rule held, and exits."""
-    record = Record(folder)
+def play(path, case):
+    """Plays `case(record, platform)`, a coroutine that returns whether the rule held, writes the record
+    to `path`, and exits."""
+    record = Record(path)
     platform = Platform(record)
     loop = asyncio.new_event_loop()
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)
