Count a waiting write's time from its last arrival, and never send it once its client left

Cause: a write that waits for memory is not read, and its client's time began only once its last byte lay in the receive buffer. A longer write never gets there, nor does the close behind it. When memory was free it was taken for new (the server was told 1,199 ms of 1,200, 3 s late), and submitted before the end of the stream was looked for.

Change: a waiting write counts as possibly complete from its last arrival on, unless its receive buffer has room for sure (downstream/unread_input.rs). It is given up after half of its client's time, and what it waited counts. A long write is submitted once the system has been asked for the end of the stream behind it. Slow clients that wait for memory look the same, so such writes borrow what answers leave idle; whoever needs its own memory takes it back from the latest borrower. Held chunks are charged and mapped one by one, so that memory is free as soon as a chunk is written.

Tests: both new tests of write_memory.rs failed before (no answer within 1.2 s; 1 write sent after its client had left) and pass. a_write_that_gets_no_memory_in_time_is_rejected_and_not_sent fills the lent memory too now, with five complete writes in place of three, since with three the write it is about fits; what it asserts stays. `over budget only the oldest` stands unchanged.

--- a/crates/cache-router/tests/write_memory.rs
+++ b/crates/cache-router/tests/write_memory.rs
@@ -111,17 +111,22 @@
     let server = CacheServer::start("s-a");
     server.set_default_behavior(Behavior::StaySilent);
     let (router, _discovery) = start_router_with_little_memory(&server);
-    // Three complete writes hold their memory until their attempts end; the fourth waits.
-    let pending: Vec<PartialWrite> = (0..4)
+    // Five complete writes hold the memory for writes, and the idle memory for answers, until their
+    // attempts end; the sixth waits.
+    let pending: Vec<PartialWrite> = (0..6)
         .map(|number| {
             let command = write_command(number, 4_000, LONG_VALUE_BYTES);
-            PartialWrite::send(&router, command, 0)
+            let write = PartialWrite::send(&router, command, 0);
+            if number < 5 {
+                wait_until("the server has the write", || {
+                    server.commands().len() == number + 1
+                });
+            }
+            write
         })
         .collect();
-    wait_until("the server has three writes", || {
-        server.commands().len() == 3
-    });
     std::thread::sleep(FILL_TIME);
+    assert_eq!(server.commands().len(), 5);
     let start = Instant::now();
     let command = write_command(100, DEADLINE_MS, SHORT_VALUE_BYTES);
     let write = PartialWrite::send(&router, command, 0);
@@ -178,3 +183,102 @@
         "told {told} ms after {waited} ms"
     );
 }
+
+/// A value that does not fit a socket's receive buffer, so that the end of its write is not seen
+/// before it is read.
+const LONGER_VALUE_BYTES: usize = 1024 * 1024;
+/// More long writes than fit in the memory for writes and in the idle memory for answers.
+const SLOW_WRITE_COUNT: usize = 8;
+/// What a slow client leaves for its pieces.
+const SLOW_REST_BYTES: usize = 500_000;
+const SLOW_PIECE_BYTES: usize = 8_000;
+const SLOW_PIECE_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Clients that write long values slowly, and never stop; they hold the memory for some 3 s.
+fn start_slow_writes(router: &RouterProcess) -> Vec<std::thread::JoinHandle<String>> {
+    let addr = router.addr;
+    let start = move |number: usize| {
+        std::thread::spawn(move || {
+            let mut stream = TcpStream::connect(addr).expect("failed to connect");
+            stream
+                .set_read_timeout(Some(MAX_WAIT))
+                .expect("failed to set the timeout");
+            let command = write_command(number, 4_000, LONG_VALUE_BYTES);
+            let (first, rest) = command.split_at(command.len() - SLOW_REST_BYTES);
+            stream.write_all(first).expect("failed to write");
+            for piece in rest.chunks(SLOW_PIECE_BYTES) {
+                std::thread::sleep(SLOW_PIECE_INTERVAL);
+                stream.write_all(piece).expect("failed to write a piece");
+            }
+            let answer = read_frame(&mut BufReader::new(&stream));
+            String::from_utf8_lossy(&answer.unwrap_or_default()).into_owned()
+        })
+    };
+    (0..SLOW_WRITE_COUNT).map(start).collect()
+}
+
+fn assert_served_or_rejected(answer: &str) {
+    assert!(
+        answer.starts_with("*3") || answer.starts_with("-BUSY"),
+        "{answer}"
+    );
+}
+
+/// Guards against a write that is longer than the receive buffer and gets no answer while slow
+/// clients hold the memory, as its end is not seen.
+#[test]
+fn a_write_longer_than_the_receive_buffer_is_answered_in_time_beside_slow_writes() {
+    const DEADLINE_MS: u64 = 1_200;
+    let server = CacheServer::start("s-a");
+    let (router, _discovery) = start_router_with_little_memory(&server);
+    let slow_writes = start_slow_writes(&router);
+    std::thread::sleep(2 * FILL_TIME);
+    for number in 100..103 {
+        let start = Instant::now();
+        let command = write_command(number, DEADLINE_MS, LONGER_VALUE_BYTES);
+        let answer = PartialWrite::send(&router, command, 0).read_answer();
+        assert_served_or_rejected(&answer);
+        assert!(
+            start.elapsed() < Duration::from_millis(DEADLINE_MS),
+            "{:?}",
+            start.elapsed()
+        );
+    }
+    for write in slow_writes {
+        assert_served_or_rejected(&write.join().expect("a slow client failed"));
+    }
+}
+
+/// Guards against a write that is sent, and applied a second time, after its client has given it up
+/// unread and closed the connection.
+#[test]
+fn a_write_whose_client_left_while_it_was_unread_is_never_sent() {
+    const GIVEN_UP_AFTER: Duration = Duration::from_millis(720);
+    let server = CacheServer::start("s-a");
+    let (router, _discovery) = start_router_with_little_memory(&server);
+    let slow_writes = start_slow_writes(&router);
+    std::thread::sleep(2 * FILL_TIME);
+    let left: Vec<String> = (100..116).map(|number| format!("id{number}")).collect();
+    let clients: Vec<_> = (100..116)
+        .map(|number| {
+            let command = write_command(number, 60_000, LONGER_VALUE_BYTES);
+            PartialWrite::send(&router, command, 0)
+        })
+        .collect();
+    std::thread::sleep(GIVEN_UP_AFTER);
+    for client in &clients {
+        // The sending thread holds a copy of the socket.
+        let _ = client.stream.shutdown(std::net::Shutdown::Both);
+    }
+    let sent_before = server.commands().len();
+    for write in slow_writes {
+        assert_served_or_rejected(&write.join().expect("a slow client failed"));
+    }
+    std::thread::sleep(FILL_TIME);
+    let commands = server.commands();
+    let late = commands[sent_before..]
+        .iter()
+        .filter(|arguments| left.contains(&arguments[2]))
+        .count();
+    assert_eq!(late, 0, "writes sent after their clients had left");
+}
--- a/crates/router-runtime/src/downstream.rs
+++ b/crates/router-runtime/src/downstream.rs
@@ -12,6 +12,7 @@
 mod memory_wait;
 mod read_plan;
 mod responses;
+mod unread_input;
 
 use bytes::BytesMut;
 
--- a/crates/router-runtime/src/downstream/connection.rs
+++ b/crates/router-runtime/src/downstream/connection.rs
@@ -7,7 +7,7 @@
 use super::connections::{CAPACITY_RETRY_INTERVAL, ClientConnections};
 use super::read_plan::{CommandInput, ReadEnd, ReadPlan};
 use super::responses::PendingResponse;
-use crate::environment::{Environment, Stream};
+use crate::environment::{Environment, ReadStream, Stream};
 use crate::resp::RespError;
 use bytes::{Bytes, BytesMut};
 use std::future::poll_fn;
@@ -15,6 +15,7 @@
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncReadExt};
 use tokio::sync::mpsc;
 
@@ -146,9 +147,13 @@
         client: &Rc<Client>,
     ) -> ControlFlow<ReadEnd> {
         while self.may_read_command(client) {
-            let response = match input.reader.next(&mut input.buffer) {
+            let response = match input.next_command() {
                 Ok(Some(arguments)) => {
                     let wait = input.complete_wait(self.environment.now());
+                    // The end of the stream comes after the command, and may only be seen now.
+                    if wait.is_long_write() && stream.has_peer_closed() {
+                        return ControlFlow::Break(ReadEnd::Disconnected);
+                    }
                     self.handle_command(arguments, client, wait)
                 }
                 Ok(None) => break,
@@ -196,6 +201,7 @@
         let deadline = plan.deadline.unwrap_or_else(|| self.environment.now());
         let must_recheck = plan.recheck_at.is_some();
         let recheck_at = plan.recheck_at.unwrap_or(deadline);
+        let began_at = self.environment.now();
         let read = async {
             if plan.may_read && has_memory {
                 return read_unless_streaming(stream, &mut input.buffer, client).await;
@@ -206,7 +212,7 @@
         tokio::select! {
             biased;
             read = read => match read {
-                Ok(count) if count > 0 => self.record_read(input, count, client),
+                Ok(count) if count > 0 => self.record_read(input, count, began_at, client),
                 _ => return ControlFlow::Break(ReadEnd::Disconnected),
             },
             end = std::future::ready(plan.early_end), if has_early_end => {
@@ -217,14 +223,23 @@
             }
             () = self.environment.sleep_until(recheck_at), if must_recheck => {}
             () = client.changed.notified() => {}
-            () = self.config.write_memory.freed(), if !has_memory => {}
-            () = self.config.write_memory.revoked(), if holds_memory => {}
+            () = self.config.memory.writes.freed(), if !has_memory => {}
+            () = self.config.memory.writes.revoked(), if holds_memory => {}
         }
         ControlFlow::Continue(())
     }
 
-    fn record_read(&self, input: &mut CommandInput, count: usize, client: &Client) {
+    fn record_read(
+        &self,
+        input: &mut CommandInput,
+        count: usize,
+        began_at: Instant,
+        client: &Client,
+    ) {
         let now = self.environment.now();
+        if let Some(wait) = &mut input.memory_wait {
+            wait.record_read(now.saturating_duration_since(began_at));
+        }
         if let Some(memory) = &mut input.memory {
             memory.add(count);
         }
--- a/crates/router-runtime/src/downstream/connections.rs
+++ b/crates/router-runtime/src/downstream/connections.rs
@@ -5,7 +5,7 @@
 use super::client::Client;
 use super::close_log::CloseLog;
 use crate::environment::Environment;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryBudgets;
 use crate::metrics::RouterMetrics;
 use crate::socket_error::affects_one_connection;
 use crate::stage::RequestStage;
@@ -53,8 +53,8 @@
     pub lifecycle: Rc<Cell<Lifecycle>>,
     /// The request metrics.
     pub metrics: Rc<RouterMetrics>,
-    /// The memory budget for long writes.
-    pub write_memory: Rc<MemoryBudget>,
+    /// The memory budgets for long values.
+    pub memory: MemoryBudgets,
 }
 
 /// The set of client connections; see the module documentation.
--- a/crates/router-runtime/src/downstream/memory_wait.rs
+++ b/crates/router-runtime/src/downstream/memory_wait.rs
@@ -1,31 +1,35 @@
 //! Writes that wait for memory: for how long they may, and what is given up for them.
 //!
-//! A write whose last byte has arrived at this machine is owed an answer within its client's time,
+//! A write whose last byte its client has written is owed an answer within its client's time,
 //! whether it has been read or not. While it waits for memory, first a write of which nothing
 //! arrives gives its memory up; if that does not help in time, the waiting write gives its value up
 //! itself. The value of such a write is read and discarded, and the write is rejected when its last
 //! byte has come. It has never been sent.
+//!
+//! The end of a long write may lie behind more bytes than the receive buffer holds. Then it cannot
+//! be seen before the write is read, so the time of its client may run from the last arrival on
+//! ([`UnreadInput`]).
 
 use super::client::Client;
 use super::commands::{name_index, request_timeout};
 use super::connections::ClientConnections;
 use super::read_plan::CommandInput;
+use super::unread_input::UnreadInput;
 use crate::clock::to_duration;
 use crate::environment::{Environment, ReadStream};
 use crate::memory_budget::MemoryReservation;
-use crate::resp::{READ_BYTES, field, number};
+use crate::resp::{CommandReader, READ_BYTES, field, number};
 use std::time::{Duration, Instant};
 
 /// How often a write that waits for memory is checked.
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// A write waits for this fraction of its client's time before a stalled one gives its memory up.
 const REVOKE_AFTER_FRACTION: f64 = 0.125;
-/// A write whose last byte has arrived waits for this fraction of its client's time before its
+/// A write whose last byte may have arrived waits for this fraction of its client's time before its
 /// value is discarded. The rest is left to read it and to answer.
 const DISCARD_AFTER_FRACTION: f64 = 0.5;
 
 /// A write that waits, or has waited, for memory.
-#[derive(Clone, Copy)]
 pub(super) struct MemoryWait {
     /// When the wait began.
     since: Instant,
@@ -33,8 +37,8 @@
     arrival_count: u64,
     /// How long the client waits for its answer.
     timeout: Duration,
-    /// When the last byte of the command was found to have arrived.
-    received_at: Option<Instant>,
+    /// What has arrived of the command while it was not read.
+    unread: UnreadInput,
 }
 
 impl MemoryWait {
@@ -42,9 +46,20 @@
         now >= self.since + self.timeout.mul_f64(REVOKE_AFTER_FRACTION)
     }
 
-    fn must_discard(&self, now: Instant) -> bool {
+    /// When the value is to be discarded, if its write may be complete.
+    fn discard_at(&self) -> Option<Instant> {
         let wait = self.timeout.mul_f64(DISCARD_AFTER_FRACTION);
-        self.received_at.is_some_and(|at| now >= at + wait)
+        self.unread.complete_since().map(|since| since + wait)
+    }
+
+    /// Whether the client may wait for its answer already.
+    fn is_owed(&self) -> bool {
+        self.unread.complete_since().is_some()
+    }
+
+    /// Records that bytes of the command were read, after waiting for them for this long.
+    pub fn record_read(&mut self, waited_for: Duration) {
+        self.unread.record_read(waited_for);
     }
 }
 
@@ -53,18 +68,26 @@
 pub(super) struct CompletedWait {
     /// The memory of a long write.
     pub memory: Option<MemoryReservation>,
-    /// How long the complete command was left unread.
+    /// How long the command may have been complete before it was read.
     pub waited_for: Duration,
 }
 
+impl CompletedWait {
+    /// Whether the command is a long write, of which much may have been unread for long.
+    pub fn is_long_write(&self) -> bool {
+        self.memory.is_some()
+    }
+}
+
 impl CommandInput {
     /// Ends the wait of a command that is complete now.
     pub fn complete_wait(&mut self, now: Instant) -> CompletedWait {
         let wait = self.memory_wait.take();
-        let received_at = wait.and_then(|wait| wait.received_at);
+        let complete_since = wait.and_then(|wait| wait.unread.complete_since());
         CompletedWait {
             memory: self.memory.take(),
-            waited_for: received_at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at)),
+            waited_for: complete_since
+                .map_or(Duration::ZERO, |since| now.saturating_duration_since(since)),
         }
     }
 
@@ -95,66 +118,72 @@
         let is_discarding = input.reader.is_discarding_value();
         if missing > READ_BYTES && input.memory.is_none() && !is_discarding {
             let arrived = input.reader.held_bytes() + input.buffer.len();
-            input.memory = Some(self.config.write_memory.reserve(arrived));
+            input.memory = Some(self.config.memory.writes.reserve(arrived));
         }
-        let has_memory = self.await_memory(stream, input, missing);
+        let waiting = self.await_memory(stream, input, missing);
         client
             .is_discarding_value
             .set(input.reader.is_discarding_value());
         input
             .buffer
             .reserve(input.reader.wanted_capacity(&input.buffer));
-        if has_memory {
-            Ok(())
-        } else {
-            Err(self.environment.now() + MEMORY_CHECK_INTERVAL)
-        }
+        waiting
     }
 
-    /// Whether the write memory has room for more of the command. Decides what is given up if it
-    /// has not; `missing` bytes of the command are not read yet.
+    /// Whether the write memory has room for more of the command; if not, when to ask again.
+    /// Decides what is given up if it has not; `missing` bytes of the command are not read yet.
     fn await_memory(
         &self,
         stream: &impl ReadStream,
         input: &mut CommandInput,
         missing: usize,
-    ) -> bool {
-        let Some(memory) = &input.memory else {
-            return true;
+    ) -> Result<(), Instant> {
+        let Some(memory) = &mut input.memory else {
+            return Ok(());
         };
         if memory.is_revoked() {
             input.discard_value();
-            return true;
+            return Ok(());
         }
         if memory.may_read_more() {
             memory.set_unread_input(false);
-            return true;
+            return Ok(());
         }
         let now = self.environment.now();
         let unread_bytes = stream.unread_bytes();
         memory.set_unread_input(unread_bytes > 0);
-        let mut wait = input
-            .memory_wait
-            .unwrap_or_else(|| self.begin_wait(input, now));
-        if unread_bytes >= missing {
-            wait.received_at.get_or_insert(now);
+        self.config.memory.reclaim_for(memory);
+        let mut wait = match input.memory_wait.take() {
+            Some(wait) => wait,
+            None => self.begin_wait(&input.reader, &input.buffer, now),
+        };
+        wait.unread.observe(unread_bytes, missing, now);
+        if wait.is_owed() {
+            memory.borrow();
         }
+        let discard_at = wait.discard_at();
+        let may_revoke = wait.may_revoke(now);
+        let arrival_count = wait.arrival_count;
         input.memory_wait = Some(wait);
-        if wait.must_discard(now) {
+        if discard_at.is_some_and(|at| now >= at) {
             input.discard_value();
-        } else if wait.may_revoke(now) {
-            self.config.write_memory.revoke_stalled(wait.arrival_count);
+        } else if may_revoke {
+            self.config.memory.writes.revoke_stalled(arrival_count);
+        }
+        if input.has_memory() {
+            return Ok(());
         }
-        input.has_memory()
+        let check_at = now + MEMORY_CHECK_INTERVAL;
+        Err(discard_at.map_or(check_at, |at| at.min(check_at)))
     }
 
-    fn begin_wait(&self, input: &CommandInput, now: Instant) -> MemoryWait {
-        let fields = input.reader.write_fields(&input.buffer);
+    fn begin_wait(&self, reader: &CommandReader, buffer: &[u8], now: Instant) -> MemoryWait {
+        let fields = reader.write_fields(buffer);
         MemoryWait {
             since: now,
-            arrival_count: self.config.write_memory.arrival_count(),
+            arrival_count: self.config.memory.writes.arrival_count(),
             timeout: fields.map_or(Duration::ZERO, |fields| self.timeout_of(fields)),
-            received_at: None,
+            unread: UnreadInput::default(),
         }
     }
 
--- a/crates/router-runtime/src/downstream/read_plan.rs
+++ b/crates/router-runtime/src/downstream/read_plan.rs
@@ -10,7 +10,7 @@
 use crate::environment::{Environment, ReadStream};
 use crate::memory_budget::MemoryReservation;
 use crate::mutation::hooks;
-use crate::resp::CommandReader;
+use crate::resp::{CommandFrame, CommandReader, RespError};
 use bytes::BytesMut;
 use process_lifecycle::{FIRST_COMMAND_GRACE, IdleConnectionPolicy};
 use std::ops::ControlFlow;
@@ -51,6 +51,8 @@
     pub memory: Option<MemoryReservation>,
     /// The wait of a long write for memory.
     pub memory_wait: Option<MemoryWait>,
+    /// How many chunks of the value are charged to its memory.
+    pub held_chunk_count: usize,
     /// When bytes of a write's value last arrived.
     pub value_progress_at: Option<Instant>,
 }
@@ -63,10 +65,33 @@
             buffer: unread,
             memory: None,
             memory_wait: None,
+            held_chunk_count: 0,
             value_progress_at: None,
         }
     }
 
+    /// Takes the next command off the input if it is complete.
+    ///
+    /// # Errors
+    /// If the input is not a command.
+    pub fn next_command(&mut self) -> Result<Option<CommandFrame>, RespError> {
+        let mut frame = self.reader.next(&mut self.buffer)?;
+        let chunks = match &mut frame {
+            Some(frame) => Some(&mut frame.long_value),
+            None => self.reader.held_chunks_mut(),
+        };
+        if let (Some(memory), Some(chunks)) = (&mut self.memory, chunks) {
+            for chunk in chunks.iter_mut().skip(self.held_chunk_count) {
+                *chunk = memory.hold(chunk);
+            }
+            self.held_chunk_count = chunks.len();
+        }
+        if frame.is_some() {
+            self.held_chunk_count = 0;
+        }
+        Ok(frame)
+    }
+
     /// Whether no byte of a further command has been read. Full chunks of a long value are not in
     /// the buffer, so the reader is asked as well.
     pub fn is_empty(&self) -> bool {
--- a/crates/router-runtime/src/environment.rs
+++ b/crates/router-runtime/src/environment.rs
@@ -93,7 +93,8 @@
 /// The reading half of a connection.
 pub trait ReadStream: AsyncRead + Unpin {
     /// Whether the peer has closed its sending side or reset the connection, even if bytes before
-    /// that are still unread. A close behind more bytes than the system buffers is not noticed yet.
+    /// that are still unread. Once all that came before a close is read, the close is noticed; one
+    /// behind more bytes than the system buffers is not noticed before.
     fn has_peer_closed(&self) -> bool;
 
     /// How many bytes have arrived and are not read yet; 0 if the system does not tell.
--- a/crates/router-runtime/src/memory_budget.rs
+++ b/crates/router-runtime/src/memory_budget.rs
@@ -4,14 +4,25 @@
 //! A budget keeps more values from arriving than fit in memory, and keeps unfinished values from
 //! deadlocking by holding all of it. Past the budget, only the oldest unfinished value is read on,
 //! by at most one maximum-size value, so that one always finishes; the others wait. A value of which
-//! nothing arrives can be made to give its memory up for those that wait. The budget is
-//! single-threaded: no borrow is held across an await.
+//! nothing arrives can be made to give its memory up for those that wait.
+//!
+//! Memory that answers do not use is lent to writes whose clients may already wait for an answer.
+//! A value that needs its budget's own memory takes it back: the latest borrower gives its up.
+//!
+//! The budgets are single-threaded: no borrow is held across an await.
+
+mod held_chunk;
+mod usage;
 
 use crate::resp::MAX_VALUE_BYTES;
+use bytes::Bytes;
+use held_chunk::HeldChunk;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::Notify;
+use usage::{BudgetUsage, Charge, TotalUsage};
 
 /// The budget is the memory beyond `RESERVED_BYTES`, divided by this.
 const BUDGET_DIVISOR: usize = 3;
@@ -20,17 +31,25 @@
 /// The smallest budget, whatever the memory of the process: two values of maximum size.
 const MIN_BUDGET_BYTES: usize = 2 * MAX_VALUE_BYTES;
 
-/// A memory budget of one process.
+/// The memory budgets of one process.
+#[derive(Clone, Debug)]
+pub struct MemoryBudgets {
+    /// For long writes.
+    pub writes: Rc<MemoryBudget>,
+    /// For long answers that are held until they are complete.
+    pub answers: Rc<MemoryBudget>,
+}
+
+/// One of the memory budgets of a process.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit_bytes: usize,
-    used_bytes: Cell<usize>,
+    usage: Arc<BudgetUsage>,
     last_sequence: Cell<u64>,
     /// How often bytes have arrived for any value.
     arrival_count: Cell<u64>,
     /// Unfinished values by sequence number, the oldest first.
     unfinished: RefCell<BTreeMap<u64, Rc<Progress>>>,
-    freed: Notify,
     revoked: Notify,
 }
 
@@ -41,35 +60,54 @@
     last_arrival: Cell<u64>,
     /// Bytes of it have arrived at this machine that are not read for lack of memory.
     has_unread_input: Cell<bool>,
+    /// Its memory is borrowed from the other budget.
+    is_borrowing: Cell<bool>,
     /// It has to give its memory up.
     is_revoked: Cell<bool>,
 }
 
-/// The memory reserved for one value, released on drop.
+/// The memory reserved for one value, except for its chunks that are held. Released on drop.
 #[derive(Debug)]
 pub struct MemoryReservation {
     budget: Rc<MemoryBudget>,
     sequence: u64,
-    bytes: usize,
+    charge: Charge,
     progress: Rc<Progress>,
 }
 
-impl MemoryBudget {
-    /// The budget of a process that may use this much memory, in bytes.
-    pub fn for_process_memory(bytes: usize) -> Rc<MemoryBudget> {
+impl MemoryBudgets {
+    /// The budgets of a process that may use this much memory, in bytes.
+    pub fn for_process_memory(bytes: usize) -> MemoryBudgets {
         let share = bytes.saturating_sub(RESERVED_BYTES) / BUDGET_DIVISOR;
-        MemoryBudget::new(share.max(MIN_BUDGET_BYTES))
+        MemoryBudgets::new(share.max(MIN_BUDGET_BYTES))
+    }
+
+    /// Budgets of `limit_bytes` each.
+    pub fn new(limit_bytes: usize) -> MemoryBudgets {
+        let total = Arc::new(TotalUsage::default());
+        MemoryBudgets {
+            writes: MemoryBudget::new(limit_bytes, total.clone()),
+            answers: MemoryBudget::new(limit_bytes, total),
+        }
     }
 
-    /// A budget of `limit_bytes`.
-    pub fn new(limit_bytes: usize) -> Rc<MemoryBudget> {
+    /// If this value waits for memory of its own budget that is lent to a write, makes the latest
+    /// write that has borrowed give its memory up.
+    pub fn reclaim_for(&self, value: &MemoryReservation) {
+        if value.waits_for_lent_memory() {
+            self.writes.revoke_latest_borrower();
+        }
+    }
+}
+
+impl MemoryBudget {
+    fn new(limit_bytes: usize, total: Arc<TotalUsage>) -> Rc<MemoryBudget> {
         Rc::new(MemoryBudget {
             limit_bytes,
-            used_bytes: Cell::new(0),
+            usage: Arc::new(BudgetUsage::new(total)),
             last_sequence: Cell::new(0),
             arrival_count: Cell::new(0),
             unfinished: RefCell::default(),
-            freed: Notify::new(),
             revoked: Notify::new(),
         })
     }
@@ -81,6 +119,7 @@
         let progress = Rc::new(Progress {
             last_arrival: Cell::new(0),
             has_unread_input: Cell::new(false),
+            is_borrowing: Cell::new(false),
             is_revoked: Cell::new(false),
         });
         self.unfinished
@@ -89,17 +128,17 @@
         let mut reservation = MemoryReservation {
             budget: self.clone(),
             sequence,
-            bytes: 0,
+            charge: Charge::none(self.usage.clone()),
             progress,
         };
         reservation.add(arrived);
         reservation
     }
 
-    /// Completes when memory has been released, or when another value may be the oldest unfinished
-    /// one.
+    /// Completes when memory of the process's budgets has been released, or when another value may be
+    /// the oldest unfinished one.
     pub async fn freed(&self) {
-        self.freed.notified().await;
+        self.usage.total.freed.notified().await;
     }
 
     /// Completes when a value has to give its memory up, which [`MemoryReservation::is_revoked`]
@@ -127,9 +166,26 @@
         let Some(value) = stalled else {
             return false;
         };
+        self.revoke(value);
+        true
+    }
+
+    /// Revokes the reservation of the latest value that borrows memory, unless one that was revoked
+    /// has not released its memory yet.
+    fn revoke_latest_borrower(&self) {
+        let unfinished = self.unfinished.borrow();
+        if unfinished.values().any(|value| value.is_revoked.get()) {
+            return;
+        }
+        let mut latest_first = unfinished.values().rev();
+        if let Some(value) = latest_first.find(|value| value.is_borrowing.get()) {
+            self.revoke(value);
+        }
+    }
+
+    fn revoke(&self, value: &Progress) {
         value.is_revoked.set(true);
         self.revoked.notify_waiters();
-        true
     }
 
     /// The budget, in bytes.
@@ -139,7 +195,7 @@
 
     /// The memory in use, in bytes.
     pub fn used_bytes(&self) -> usize {
-        self.used_bytes.get()
+        self.usage.used_bytes()
     }
 
     /// The number of unfinished values.
@@ -147,6 +203,11 @@
         self.unfinished.borrow().len()
     }
 
+    /// Whether the budgets of the process together have room, `excess` bytes past their limits.
+    fn has_room_in_total(&self, excess: usize) -> bool {
+        self.usage.total.used_bytes() < 2 * self.limit_bytes + excess
+    }
+
     fn is_oldest_unfinished(&self, sequence: u64) -> bool {
         let unfinished = self.unfinished.borrow();
         unfinished
@@ -159,22 +220,50 @@
     /// Whether more of this value may be read.
     pub fn may_read_more(&self) -> bool {
         let budget = &self.budget;
-        // Finished values are passed on and release their memory, so the oldest unfinished one
-        // needs at most one value past the limit.
-        budget.used_bytes() < budget.limit_bytes
-            || budget.used_bytes() < budget.limit_bytes + MAX_VALUE_BYTES
-                && budget.is_oldest_unfinished(self.sequence)
+        let own_bytes = budget.usage.own_bytes();
+        let has_share = self.is_borrowing() || own_bytes < budget.limit_bytes;
+        if has_share && budget.has_room_in_total(0) {
+            return true;
+        }
+        // Finished values are passed on and release their memory, so the oldest unfinished one of
+        // each budget needs at most one value past the limit.
+        let bytes_with_value = own_bytes + self.charge.borrowed_bytes();
+        bytes_with_value < budget.limit_bytes + MAX_VALUE_BYTES
+            && budget.has_room_in_total(2 * MAX_VALUE_BYTES)
+            && budget.is_oldest_unfinished(self.sequence)
+    }
+
+    /// From now on lets this value be read with memory that the other budget does not use.
+    pub fn borrow(&mut self) {
+        self.progress.is_borrowing.set(true);
+        self.charge.borrow();
+    }
+
+    /// Whether this value waits for its budget's own memory, which is lent.
+    fn waits_for_lent_memory(&self) -> bool {
+        let has_share = self.budget.usage.own_bytes() < self.budget.limit_bytes;
+        has_share && !self.is_borrowing() && !self.may_read_more()
+    }
+
+    fn is_borrowing(&self) -> bool {
+        self.progress.is_borrowing.get()
     }
 
     /// Records that more of the value has arrived.
     pub fn add(&mut self, bytes: usize) {
-        self.bytes += bytes;
+        self.charge.add(bytes);
         let budget = &self.budget;
-        budget.used_bytes.set(budget.used_bytes() + bytes);
         budget.arrival_count.set(budget.arrival_count() + 1);
         self.progress.last_arrival.set(budget.arrival_count());
     }
 
+    /// Holds a chunk of the value that has arrived. Its memory is released, and returned to the
+    /// system, as soon as the last copy of the chunk is dropped.
+    pub fn hold(&mut self, chunk: &Bytes) -> Bytes {
+        let charge = self.charge.split_off(chunk.len());
+        Bytes::from_owner(HeldChunk::new(chunk, charge))
+    }
+
     /// Records whether bytes of the value have arrived at this machine that are not read for lack of
     /// memory.
     pub fn set_unread_input(&self, has_unread_input: bool) {
@@ -190,14 +279,12 @@
     /// Marks the value as finished; its memory stays in use until the reservation is dropped.
     pub fn complete(&self) {
         self.budget.unfinished.borrow_mut().remove(&self.sequence);
-        self.budget.freed.notify_waiters();
+        self.budget.usage.total.freed.notify_waiters();
     }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        let used_bytes = self.budget.used_bytes() - self.bytes;
-        self.budget.used_bytes.set(used_bytes);
         self.complete();
     }
 }
--- a/crates/router-runtime/src/resp/command.rs
+++ b/crates/router-runtime/src/resp/command.rs
@@ -258,6 +258,13 @@
         self.arguments.len() == VALUE || self.long_write.is_some()
     }
 
+    /// The full chunks of the current command's long value; `None` if there is none.
+    pub fn held_chunks_mut(&mut self) -> Option<&mut Vec<Bytes>> {
+        self.long_write
+            .as_mut()
+            .map(|write| &mut write.frame.long_value)
+    }
+
     /// Bytes of the current command's value that are no longer in the buffer.
     pub fn held_bytes(&self) -> usize {
         let chunks = self
--- a/crates/router-runtime/src/runtime.rs
+++ b/crates/router-runtime/src/runtime.rs
@@ -10,7 +10,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::downstream::{ClientConnections, DownstreamConfig, IdleConnection};
 use crate::environment::Environment;
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryBudgets;
 use crate::metrics::{Metrics, ResourceUsage, RouterMetrics};
 use crate::mutation::hooks;
 use crate::upstream::UpstreamPools;
@@ -50,10 +50,11 @@
     pub fn new(environment: E, config: RouterConfig) -> Result<RouterRuntime<E>, ConfigError> {
         let setup = RouterSetup::new(config)?;
         let metrics = Rc::new(RouterMetrics::new(setup.classes.len()));
+        let memory = MemoryBudgets::for_process_memory(setup.memory_bytes);
         let upstream = UpstreamPools::new(
             setup.upstream_limits,
             setup.report_format,
-            MemoryBudget::for_process_memory(setup.memory_bytes),
+            memory.clone(),
             metrics.clone(),
             environment.clone(),
         );
@@ -79,7 +80,7 @@
             max_connections: setup.upstream_limits.max_connections,
             lifecycle: lifecycle.clone(),
             metrics,
-            write_memory: MemoryBudget::for_process_memory(setup.memory_bytes),
+            memory,
         };
         let clients = ClientConnections::new(downstream, environment.clone());
         // Before the first request, so that no request finds an empty hash ring.
--- a/crates/router-runtime/src/tokio_environment.rs
+++ b/crates/router-runtime/src/tokio_environment.rs
@@ -80,7 +80,8 @@
         // One poll without a waker returns the readiness that tokio knows so far.
         let ready =
             pin!(self.ready(Interest::READABLE)).poll(&mut Context::from_waker(Waker::noop()));
-        matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed())
+        let is_known = matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed());
+        is_known || has_closed_now(self.as_ref())
     }
 
     fn unread_bytes(&self) -> usize {
@@ -104,6 +105,16 @@
     }
 }
 
+/// Whether the system has received the end of the stream or an error, which the event loop may not
+/// have been told yet.
+fn has_closed_now(stream: &TcpStream) -> bool {
+    let closed = PollFlags::RDHUP | PollFlags::HUP | PollFlags::ERR;
+    let mut descriptors = [PollFd::new(stream, PollFlags::RDHUP)];
+    // A failed call tells nothing, and the event loop is told of a close soon after.
+    let count = rustix::event::poll(&mut descriptors, Some(&Timespec::default()));
+    count.is_ok_and(|count| count > 0) && descriptors[0].revents().intersects(closed)
+}
+
 impl Stream for TcpStream {
     type Reader<'a> = ReadHalf<'a>;
     type Writer<'a> = WriteHalf<'a>;
--- a/crates/router-runtime/src/upstream/pool.rs
+++ b/crates/router-runtime/src/upstream/pool.rs
@@ -3,7 +3,7 @@
 
 use super::connection::{Connection, ServerProcess};
 use crate::environment::{Environment, Stream};
-use crate::memory_budget::MemoryBudget;
+use crate::memory_budget::MemoryBudgets;
 use crate::metrics::RouterMetrics;
 use crate::mutation::hooks;
 use bytes::BytesMut;
@@ -80,7 +80,7 @@
     /// Format of load reports.
     pub(super) report_format: LoadReportFormat,
     /// Memory for long answers that are buffered until they are complete.
-    pub(super) answer_memory: Rc<MemoryBudget>,
+    pub(super) memory: MemoryBudgets,
     /// One permit for each connection that may be opened.
     slots: Arc<Semaphore>,
     /// Number of slots ceded to another process of this router.
@@ -95,7 +95,7 @@
     pub fn new(
         limits: UpstreamLimits,
         report_format: LoadReportFormat,
-        answer_memory: Rc<MemoryBudget>,
+        memory: MemoryBudgets,
         metrics: Rc<RouterMetrics>,
         environment: E,
     ) -> Rc<Self> {
@@ -105,7 +105,7 @@
             pools: RefCell::default(),
             limits,
             report_format,
-            answer_memory,
+            memory,
             slots,
             ceded_slots: Cell::new(0),
             metrics,
--- a/crates/router-runtime/src/upstream/response.rs
+++ b/crates/router-runtime/src/upstream/response.rs
@@ -194,14 +194,14 @@
     ) -> AttemptResult {
         let LongValue { head, mut reader } = long_value;
         let mut rest = Vec::new();
-        let mut memory = self.answer_memory.reserve(connection.received.len());
+        let mut memory = self.memory.answers.reserve(connection.received.len());
         let mut digest = Digest::of(&head);
         let reply = loop {
             match reader.next_full_chunk(&mut connection.received) {
                 Ok(Some(ValuePart::Last(reply))) => break reply,
                 Ok(Some(ValuePart::Bytes(chunk))) => {
                     digest.add(&chunk);
-                    rest.push(chunk);
+                    rest.push(memory.hold(&chunk));
                     continue;
                 }
                 Ok(None) => {}
@@ -249,7 +249,8 @@
         memory: &mut MemoryReservation,
     ) -> io::Result<usize> {
         while !memory.may_read_more() {
-            self.answer_memory.freed().await;
+            self.memory.reclaim_for(memory);
+            self.memory.answers.freed().await;
         }
         let wanted = reader.next_read_bytes(&connection.received);
         let count = connection.read_at_most(wanted).await?;
--- a/crates/router-runtime/tests/memory_budget.rs
+++ b/crates/router-runtime/tests/memory_budget.rs
@@ -1,11 +1,11 @@
 //! The memory budget: which values may be read past the limit, and that memory is released.
 
-use router_runtime::memory_budget::{MemoryBudget, MemoryReservation};
+use router_runtime::memory_budget::{MemoryBudgets, MemoryReservation};
 use router_runtime::resp::MAX_VALUE_BYTES;
 
 #[test]
 fn over_budget_only_the_oldest_unfinished_value_may_be_read() {
-    let budget = MemoryBudget::new(100);
+    let budget = MemoryBudgets::new(100).writes;
     let (mut first, mut second) = (budget.reserve(40), budget.reserve(40));
     assert!(first.may_read_more() && second.may_read_more());
     second.add(30);
@@ -25,7 +25,7 @@
 
 #[test]
 fn a_dropped_reservation_returns_its_memory() {
-    let budget = MemoryBudget::new(100);
+    let budget = MemoryBudgets::new(100).writes;
     let (first, second) = (budget.reserve(150), budget.reserve(1));
     assert!(!second.may_read_more());
     drop(first);
@@ -38,7 +38,7 @@
 /// received some.
 #[test]
 fn only_a_value_without_arrivals_is_revoked() {
-    let budget = MemoryBudget::new(100);
+    let budget = MemoryBudgets::new(100).writes;
     let mut values: Vec<_> = (0..4).map(|_| budget.reserve(30)).collect();
     values[1].set_unread_input(true);
     let arrival_count = budget.arrival_count();
@@ -61,9 +61,67 @@
 
 #[test]
 fn the_smallest_budget_holds_two_values_of_maximum_size() {
-    assert_eq!(MemoryBudget::for_process_memory(0).limit_bytes(), 8 << 20);
     assert_eq!(
-        MemoryBudget::for_process_memory(192 << 20).limit_bytes(),
+        MemoryBudgets::for_process_memory(0).writes.limit_bytes(),
+        8 << 20
+    );
+    assert_eq!(
+        MemoryBudgets::for_process_memory(192 << 20)
+            .writes
+            .limit_bytes(),
         (176 << 20) / 3
     );
 }
+
+#[test]
+fn idle_memory_of_answers_is_lent_to_a_write_and_reclaimed() {
+    let budgets = MemoryBudgets::new(100);
+    let oldest = budgets.writes.reserve(100);
+    let mut write = budgets.writes.reserve(0);
+    assert!(!write.may_read_more());
+    write.borrow();
+    assert!(write.may_read_more());
+    write.add(60);
+    let answer = budgets.answers.reserve(40);
+    assert!(!write.may_read_more() && answer.may_read_more());
+    let second_answer = budgets.answers.reserve(0);
+    assert!(!second_answer.may_read_more());
+    budgets.reclaim_for(&second_answer);
+    assert!(write.is_revoked() && !oldest.is_revoked());
+    budgets.reclaim_for(&second_answer);
+    assert!(!oldest.is_revoked(), "the first one is released soon");
+    drop(write);
+    assert!(second_answer.may_read_more());
+}
+
+#[test]
+fn finished_values_that_borrow_leave_no_room_past_the_limits() {
+    let budgets = MemoryBudgets::new(100);
+    let finished: Vec<_> = (0..3)
+        .map(|_| {
+            let mut write = budgets.writes.reserve(0);
+            write.borrow();
+            write.add(MAX_VALUE_BYTES);
+            write.complete();
+            write
+        })
+        .collect();
+    let oldest = budgets.writes.reserve(0);
+    assert!(!oldest.may_read_more());
+    drop(finished);
+    assert!(oldest.may_read_more());
+}
+
+#[test]
+fn the_memory_of_a_held_chunk_is_released_with_its_last_copy() {
+    let budgets = MemoryBudgets::new(100_000);
+    let mut write = budgets.writes.reserve(70_000);
+    let chunk = write.hold(&bytes::Bytes::from(vec![b'w'; 65_000]));
+    let copy = chunk.clone();
+    drop(write);
+    assert_eq!(budgets.writes.used_bytes(), 65_000);
+    drop(chunk);
+    assert_eq!((budgets.writes.used_bytes(), copy.len()), (65_000, 65_000));
+    drop(copy);
+    assert_eq!(budgets.writes.used_bytes(), 0);
+}
