Share one memory limit among the processes of a router, and hand writes over in pieces

Cause: each process had both budgets whole. A half-written value was handed over as one block, copied three times on each side, uncounted; freed memory stayed resident in the heap.

Half-written values go over in their pieces, counted until they have arrived; the bytes on the channel are the same as before. What is past the new process's budget for writes is borrowed there as well. A read looks at the budget again when its bytes are there. inherited_listener refuses a negative descriptor itself: with its `fs` feature, rustix asserts on it in debug builds (an_unusable_descriptor_prevents_the_start_with_a_one_line_error failed).

--- a/crates/cache-router/src/hand_over.rs
+++ b/crates/cache-router/src/hand_over.rs
@@ -3,7 +3,9 @@
 
 use crate::Runtime;
 use crate::admin_state::AdminState;
+use crate::shared_memory::SharedMemory;
 use crate::takeover::READINESS_POLL_INTERVAL;
+use hot_restart::Unread;
 use hot_restart::channel::{ChannelError, HandoverChannel, MessageReceiver, Received};
 use hot_restart::message::{HandoverState, Message, MessageError, VERSION};
 use hot_restart::rendezvous::RendezvousSocket;
@@ -34,6 +36,8 @@
     pub runtime: Rc<Runtime>,
     /// Operators' overrides and drains.
     pub admin_state: Rc<AdminState>,
+    /// The memory that this process shares with the new one.
+    pub shared_memory: Rc<SharedMemory>,
 }
 
 /// How a hand-over to a successor process ended.
@@ -118,6 +122,7 @@
     /// idle, until either that process or the runtime of this one ends.
     async fn serve_successor(&self, channel: &HandoverChannel) -> SuccessorOutcome {
         self.runtime.share_connection_slots(true);
+        let _peer = self.shared_memory.add_peer();
         let mut changes = self.admin_state.subscribe();
         let (sender, mut idle_connections) = mpsc::unbounded_channel::<ClientConnection>();
         let mut sender = Some(sender);
@@ -186,7 +191,7 @@
     connection: &ClientConnection,
 ) -> Result<(), ChannelError> {
     let message = Message::Connection {
-        unread: connection.unread.to_vec(),
+        unread: Unread(connection.unread.clone()),
         has_sent_command: connection.has_sent_command,
     };
     channel
--- a/crates/cache-router/src/main.rs
+++ b/crates/cache-router/src/main.rs
@@ -9,6 +9,7 @@
 mod hand_over;
 mod operator_file;
 mod process;
+mod shared_memory;
 mod signals;
 mod summary;
 mod takeover;
--- a/crates/cache-router/src/process.rs
+++ b/crates/cache-router/src/process.rs
@@ -6,6 +6,7 @@
 use crate::configuration::{Configuration, ConfigurationError};
 use crate::hand_over::HandOver;
 use crate::operator_file::{OperatorFile, OperatorFileError};
+use crate::shared_memory::SharedMemory;
 use crate::signals::{self, Signals};
 use crate::summary;
 use crate::takeover::{self, Predecessor};
@@ -103,21 +104,31 @@
     };
     let process = Process::start(settings, predecessor)?;
     let runtime = process.runtime;
-    if let Some(channel) = process.predecessor {
+    let shared_memory = rendezvous.is_some().then(|| {
+        let shared_memory = shared_memory(&process.configuration.name, &runtime);
+        // Detached task; dropped with the thread's `LocalSet` at exit.
+        spawn_local(shared_memory.clone().follow_peers());
+        shared_memory
+    });
+    if let (Some(channel), Some(shared_memory)) = (process.predecessor, &shared_memory) {
         let admin_state = process.admin_state.clone();
         // Detached task; it ends when the predecessor process has ended.
         spawn_local(takeover::complete_takeover(
             channel,
             runtime.clone(),
             admin_state,
+            shared_memory.clone(),
         ));
     }
-    let hand_over = rendezvous.map(|socket| HandOver {
-        socket,
-        router: process.configuration.name,
-        runtime: runtime.clone(),
-        admin_state: process.admin_state,
-    });
+    let hand_over = rendezvous
+        .zip(shared_memory)
+        .map(|(socket, shared_memory)| HandOver {
+            socket,
+            router: process.configuration.name,
+            runtime: runtime.clone(),
+            admin_state: process.admin_state,
+            shared_memory,
+        });
     // Joined after the runtime has ended if there is a successor; otherwise dropped with the
     // thread's `LocalSet` at exit.
     let hand_over = hand_over.map(|hand_over| spawn_local(hand_over.run()));
@@ -254,6 +265,13 @@
     Some(RendezvousSocket::new(Path::new(&directory), router))
 }
 
+/// The memory that this process shares with the others of its router, in the directory of the
+/// rendezvous socket.
+fn shared_memory(router: &str, runtime: &Rc<Runtime>) -> Rc<SharedMemory> {
+    let directory = std::env::var_os(STATE_DIRECTORY_VARIABLE).unwrap_or_default();
+    SharedMemory::open(Path::new(&directory), router, runtime.clone())
+}
+
 /// Loads the state that the last process of this router left on disk. An invalid file is logged and
 /// treated as missing.
 fn load_state(store: &StateStore) -> HandoverState {
--- a/crates/cache-router/src/takeover.rs
+++ b/crates/cache-router/src/takeover.rs
@@ -3,7 +3,7 @@
 
 use crate::Runtime;
 use crate::admin_state::AdminState;
-use bytes::BytesMut;
+use crate::shared_memory::SharedMemory;
 use hot_restart::channel::{ChannelError, HandoverChannel, MessageReceiver, Received};
 use hot_restart::message::{HandoverState, Message, MessageError, VERSION};
 use hot_restart::rendezvous::RendezvousSocket;
@@ -66,8 +66,10 @@
     channel: HandoverChannel,
     runtime: Rc<Runtime>,
     admin_state: Rc<AdminState>,
+    shared_memory: Rc<SharedMemory>,
 ) {
     runtime.share_connection_slots(true);
+    let _peer = shared_memory.add_peer();
     let mut changes = admin_state.subscribe();
     while !runtime.lifecycle().is_ready() {
         sleep(READINESS_POLL_INTERVAL).await;
@@ -117,11 +119,10 @@
             Some(descriptor),
         ) => {
             let stream = client_stream(descriptor).ok();
-            let unread = BytesMut::from(&unread[..]);
             Ok(stream.map(|stream| {
                 PredecessorMessage::Connection(IdleConnection {
                     stream,
-                    unread,
+                    unread: unread.0,
                     has_sent_command,
                 })
             }))
--- a/crates/hot-restart/src/channel.rs
+++ b/crates/hot-restart/src/channel.rs
@@ -4,7 +4,8 @@
 //! A descriptor is sent as ancillary data (`SCM_RIGHTS`, `unix(7)`) with the first byte of its
 //! message.
 
-use crate::message::{FRAME_HEADER_BYTES, FrameHeader, Message, MessageError};
+use crate::message::{FRAME_HEADER_BYTES, FrameHeader, FramePieces, Message, MessageError};
+use bytes::Bytes;
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags, recvmsg, sendmsg,
@@ -29,6 +30,9 @@
     Message(#[from] MessageError),
 }
 
+/// A body is received in pieces of this size, in bytes.
+const PIECE_BYTES: usize = 64 * 1024;
+
 /// A message, and the descriptor that came with it, if any.
 pub type Received = (Message, Option<OwnedFd>);
 
@@ -55,13 +59,16 @@
         message: &Message,
         descriptor: Option<BorrowedFd<'_>>,
     ) -> Result<(), ChannelError> {
-        let bytes = message.encode()?;
-        let mut written = 0;
-        while written < bytes.len() {
-            let descriptor = descriptor.filter(|_| written == 0);
-            let unwritten = &bytes[written..];
-            let write = || self.try_send(unwritten, descriptor);
-            written += self.0.async_io(Interest::WRITABLE, write).await?;
+        let frame = FramePieces::of(message)?;
+        let mut descriptor = descriptor;
+        for piece in &frame.0 {
+            let mut unwritten = &piece[..];
+            while !unwritten.is_empty() {
+                let write = || self.try_send(unwritten, descriptor);
+                let count = self.0.async_io(Interest::WRITABLE, write).await?;
+                unwritten = &unwritten[count..];
+                descriptor = None;
+            }
         }
         Ok(())
     }
@@ -91,9 +98,15 @@
         let mut descriptor = None;
         self.read_exact(&mut header, &mut descriptor).await?;
         let header = FrameHeader::decode(header)?;
-        let mut body = vec![0; header.body_bytes];
-        self.read_exact(&mut body, &mut descriptor).await?;
-        let message = Message::decode_body(&body, header.checksum)?;
+        let mut body = Vec::new();
+        let mut remaining_bytes = header.body_bytes;
+        while remaining_bytes > 0 {
+            let mut piece = vec![0; remaining_bytes.min(PIECE_BYTES)];
+            self.read_exact(&mut piece, &mut descriptor).await?;
+            remaining_bytes -= piece.len();
+            body.push(Bytes::from(piece));
+        }
+        let message = FramePieces::decode_body(body, header.checksum)?;
         Ok((message, descriptor))
     }
 
--- a/crates/hot-restart/src/inherited_listener.rs
+++ b/crates/hot-restart/src/inherited_listener.rs
@@ -51,6 +51,9 @@
 
 /// Duplicates one of this process's descriptors.
 fn duplicate_descriptor(descriptor: i32) -> io::Result<OwnedFd> {
+    if descriptor < 0 {
+        return Err(rustix::io::Errno::BADF.into());
+    }
     let process = pidfd_open(getpid(), PidfdFlags::empty())?;
     Ok(pidfd_getfd(process, descriptor, PidfdGetfdFlags::empty())?)
 }
--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -9,6 +9,8 @@
 //! truncated, corrupted, or from another version or router is rejected as a whole, with an error
 //! that tells the cause.
 
+use crate::Unread;
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
@@ -68,7 +70,7 @@
     /// A client connection, whose descriptor is sent with the message.
     Connection {
         /// Received bytes of an incomplete command.
-        unread: Vec<u8>,
+        unread: Unread,
         /// Whether the client has already sent a complete command.
         has_sent_command: bool,
     },
@@ -114,9 +116,12 @@
         if body.len() > MAX_BODY_BYTES {
             return Err(MessageError::TooLong(body.len()));
         }
+        let header = FrameHeader {
+            body_bytes: body.len(),
+            checksum: crc32c::crc32c(&body),
+        };
         let mut frame = Vec::with_capacity(FRAME_HEADER_BYTES + body.len());
-        frame.extend_from_slice(&(body.len() as u32).to_le_bytes());
-        frame.extend_from_slice(&crc32c::crc32c(&body).to_le_bytes());
+        frame.extend_from_slice(&header.encode());
         frame.extend_from_slice(&body);
         Ok(frame)
     }
@@ -186,6 +191,95 @@
     Ok(())
 }
 
+/// A frame in pieces, so that the unread bytes of a connection are not copied.
+#[derive(Debug)]
+pub struct FramePieces(pub Vec<Bytes>);
+
+impl FramePieces {
+    /// Encodes a message like [`Message::encode`].
+    ///
+    /// # Errors
+    /// [`MessageError::TooLong`] if the body exceeds [`MAX_BODY_BYTES`].
+    pub fn of(message: &Message) -> Result<FramePieces, MessageError> {
+        let Message::Connection {
+            unread,
+            has_sent_command,
+        } = message
+        else {
+            return Ok(FramePieces(vec![message.encode()?.into()]));
+        };
+        let EmptyConnection { variant, rest } = EmptyConnection::encode(*has_sent_command)?;
+        let mut begin = variant;
+        let length = postcard::to_stdvec(&unread.len()).map_err(|_| MessageError::Malformed)?;
+        begin.extend_from_slice(&length);
+        let mut body = vec![Bytes::from(begin)];
+        body.extend(unread.0.iter().cloned());
+        body.push(rest.into());
+        let header = FrameHeader::of(&body)?;
+        body.insert(0, Bytes::copy_from_slice(&header.encode()));
+        Ok(FramePieces(body))
+    }
+
+    /// Decodes a body that has arrived in pieces, none of them empty.
+    ///
+    /// # Errors
+    /// Like [`Message::decode_body`].
+    pub fn decode_body(pieces: Vec<Bytes>, checksum: u32) -> Result<Message, MessageError> {
+        let header = FrameHeader::of(&pieces)?;
+        if header.checksum != checksum {
+            return Err(MessageError::ChecksumMismatch);
+        }
+        match decode_connection(&pieces, header.body_bytes) {
+            Some(connection) => Ok(connection),
+            None => Message::decode_body(&pieces.concat(), checksum),
+        }
+    }
+}
+
+/// The encoding of a connection without unread bytes, around the length of these.
+struct EmptyConnection {
+    variant: Vec<u8>,
+    rest: Vec<u8>,
+}
+
+impl EmptyConnection {
+    fn encode(has_sent_command: bool) -> Result<EmptyConnection, MessageError> {
+        let message = Message::Connection {
+            unread: Unread::default(),
+            has_sent_command,
+        };
+        let mut variant = postcard::to_stdvec(&message).map_err(|_| MessageError::Malformed)?;
+        let rest = variant.split_off(variant.len() - size_of::<bool>());
+        // The length of the unread bytes, which is 0.
+        variant.pop();
+        Ok(EmptyConnection { variant, rest })
+    }
+}
+
+/// Decodes a connection without copying its unread bytes; `None` if the body is another message, or
+/// so short that its beginning and its end are not in pieces of their own.
+fn decode_connection(body: &[Bytes], body_bytes: usize) -> Option<Message> {
+    let (first, last) = (body.first()?, body.last()?);
+    if body.len() < 2 {
+        return None;
+    }
+    let has_sent_command = *last.last()? != 0;
+    let EmptyConnection { variant, rest } = EmptyConnection::encode(has_sent_command).ok()?;
+    let after_variant = first.strip_prefix(&variant[..])?;
+    let (length, after_length) = postcard::take_from_bytes::<usize>(after_variant).ok()?;
+    let begin_bytes = first.len() - after_length.len();
+    if begin_bytes + length + rest.len() != body_bytes || !last.ends_with(&rest) {
+        return None;
+    }
+    let mut unread = body.to_vec();
+    *unread.first_mut()? = first.slice(begin_bytes..);
+    *unread.last_mut()? = last.slice(..last.len() - rest.len());
+    Some(Message::Connection {
+        unread: Unread(unread),
+        has_sent_command,
+    })
+}
+
 /// Header of a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FrameHeader {
@@ -196,6 +290,28 @@
 }
 
 impl FrameHeader {
+    /// The header of a body in pieces.
+    fn of(body: &[Bytes]) -> Result<FrameHeader, MessageError> {
+        let body_bytes = body.iter().map(Bytes::len).sum();
+        if body_bytes > MAX_BODY_BYTES {
+            return Err(MessageError::TooLong(body_bytes));
+        }
+        let checksum = body
+            .iter()
+            .fold(0, |checksum, piece| crc32c::crc32c_append(checksum, piece));
+        Ok(FrameHeader {
+            body_bytes,
+            checksum,
+        })
+    }
+
+    fn encode(&self) -> [u8; FRAME_HEADER_BYTES] {
+        let mut bytes = [0; FRAME_HEADER_BYTES];
+        bytes[..4].copy_from_slice(&(self.body_bytes as u32).to_le_bytes());
+        bytes[4..].copy_from_slice(&self.checksum.to_le_bytes());
+        bytes
+    }
+
     /// Decodes a header.
     ///
     /// # Errors
--- a/crates/hot-restart/tests/channel.rs
+++ b/crates/hot-restart/tests/channel.rs
@@ -11,7 +11,7 @@
     let (sender, receiver) = (HandoverChannel::new(sender), HandoverChannel::new(receiver));
     let messages: Vec<Message> = [0, 1, 70_000, 4 << 20]
         .map(|length| Message::Connection {
-            unread: vec![7; length],
+            unread: vec![7; length].into(),
             has_sent_command: length > 1,
         })
         .into();
--- a/crates/hot-restart/tests/message.rs
+++ b/crates/hot-restart/tests/message.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use hot_restart::message::{
-    FRAME_HEADER_BYTES, FrameHeader, MAX_BODY_BYTES, Message, MessageError, VERSION,
+    FRAME_HEADER_BYTES, FrameHeader, FramePieces, MAX_BODY_BYTES, Message, MessageError, VERSION,
 };
 use proptest::collection::vec;
 use proptest::prelude::*;
@@ -75,7 +75,7 @@
 #[test]
 fn a_message_over_the_maximum_length_is_neither_encoded_nor_decoded() {
     let long = Message::Connection {
-        unread: vec![0; MAX_BODY_BYTES],
+        unread: vec![0; MAX_BODY_BYTES].into(),
         has_sent_command: true,
     };
     assert!(matches!(long.encode(), Err(MessageError::TooLong(_))));
@@ -102,3 +102,31 @@
         prop_assert!(Message::decode(&noise).is_err());
     }
 }
+
+/// The bytes that one process sends are those that another version of it expects.
+#[test]
+fn a_connection_in_pieces_is_encoded_like_one_in_one_piece() {
+    let pieces = [70_000, 1, 300].map(|length| bytes::Bytes::from(vec![b'u'; length]));
+    let message = Message::Connection {
+        unread: hot_restart::Unread(pieces.into()),
+        has_sent_command: true,
+    };
+    let frame = FramePieces::of(&message).expect("short enough").0.concat();
+    assert!(frame == message.encode().expect("short enough"));
+    assert!(Message::decode(&frame) == Ok(message.clone()));
+    let (header, body) = frame.split_first_chunk().expect("a header");
+    let header = FrameHeader::decode(*header).expect("a header");
+    let body = |size: usize| {
+        body.chunks(size)
+            .map(bytes::Bytes::copy_from_slice)
+            .collect()
+    };
+    for size in [1, 2, 1_000, 70_000, 80_000] {
+        let decoded = FramePieces::decode_body(body(size), header.checksum);
+        assert!(decoded.as_ref() == Ok(&message), "pieces of {size} bytes");
+    }
+    assert_eq!(
+        FramePieces::decode_body(body(1_000), header.checksum ^ 1),
+        Err(MessageError::ChecksumMismatch)
+    );
+}
--- a/crates/hot-restart/tests/stored_forms.rs
+++ b/crates/hot-restart/tests/stored_forms.rs
@@ -46,7 +46,7 @@
         (
             include_bytes!("golden/connection.message"),
             Message::Connection {
-                unread: b"*2\r\n$5\r\nC.GE".to_vec(),
+                unread: b"*2\r\n$5\r\nC.GE".to_vec().into(),
                 has_sent_command: true,
             },
         ),
--- a/crates/router-runtime/src/downstream.rs
+++ b/crates/router-runtime/src/downstream.rs
@@ -14,7 +14,7 @@
 mod responses;
 mod unread_input;
 
-use bytes::BytesMut;
+use bytes::Bytes;
 
 pub use connections::{ClientConnections, DownstreamConfig};
 
@@ -24,8 +24,8 @@
 pub struct IdleConnection<S> {
     /// The connection. What the client has sent since is still to be read from it.
     pub stream: S,
-    /// Bytes read of an incomplete command.
-    pub unread: BytesMut,
+    /// Bytes read of an incomplete command, in pieces.
+    pub unread: Vec<Bytes>,
     /// Whether the client has sent a complete command on it.
     pub has_sent_command: bool,
 }
@@ -35,7 +35,7 @@
     fn accepted(stream: S) -> Self {
         IdleConnection {
             stream,
-            unread: BytesMut::new(),
+            unread: Vec::new(),
             has_sent_command: false,
         }
     }
--- a/crates/router-runtime/src/downstream/connection.rs
+++ b/crates/router-runtime/src/downstream/connection.rs
@@ -8,10 +8,10 @@
 use super::read_plan::{CommandInput, ReadEnd, ReadPlan};
 use super::responses::PendingResponse;
 use crate::environment::{Environment, ReadStream, Stream};
+use crate::memory_budget::MemoryReservation;
 use crate::resp::RespError;
 use bytes::{Bytes, BytesMut};
 use std::future::poll_fn;
-use std::io;
 use std::ops::ControlFlow;
 use std::rc::Rc;
 use std::task::Poll;
@@ -70,7 +70,7 @@
     async fn serve_until_idle(
         &self,
         mut stream: E::Stream,
-        unread: BytesMut,
+        unread: Vec<Bytes>,
         client: &Rc<Client>,
     ) -> ServedConnection<E::Stream> {
         if stream.set_nodelay().is_err() {
@@ -114,11 +114,11 @@
     async fn read_commands(
         &self,
         stream: &mut <E::Stream as Stream>::Reader<'_>,
-        unread: BytesMut,
+        unread: Vec<Bytes>,
         pending: mpsc::Sender<PendingResponse>,
         client: &Rc<Client>,
     ) -> ReadEnd {
-        let mut input = CommandInput::new(unread);
+        let mut input = CommandInput::new(unread, &self.config.memory.writes);
         loop {
             let taken = self
                 .handle_received_commands(stream, &mut input, &pending, client)
@@ -202,18 +202,20 @@
         let must_recheck = plan.recheck_at.is_some();
         let recheck_at = plan.recheck_at.unwrap_or(deadline);
         let began_at = self.environment.now();
+        let memory = input.memory.as_ref();
         let read = async {
             if plan.may_read && has_memory {
-                return read_unless_streaming(stream, &mut input.buffer, client).await;
+                return read_permitted(stream, &mut input.buffer, client, memory).await;
             }
             self.disconnected(stream).await;
-            Ok(0)
+            ReadResult::Ended
         };
         tokio::select! {
             biased;
             read = read => match read {
-                Ok(count) if count > 0 => self.record_read(input, count, began_at, client),
-                _ => return ControlFlow::Break(ReadEnd::Disconnected),
+                ReadResult::Received(count) => self.record_read(input, count, began_at, client),
+                ReadResult::OutOfMemory => {}
+                ReadResult::Ended => return ControlFlow::Break(ReadEnd::Disconnected),
             },
             end = std::future::ready(plan.early_end), if has_early_end => {
                 return ControlFlow::Break(end.unwrap_or(ReadEnd::Close));
@@ -252,20 +254,40 @@
     }
 }
 
+/// Result of a wait for input.
+enum ReadResult {
+    /// This many bytes were read.
+    Received(usize),
+    /// Bytes have arrived, but other values have used up the memory during the wait.
+    OutOfMemory,
+    /// The stream has ended or failed.
+    Ended,
+}
+
 /// Reads what has arrived, but nothing while an answer is streamed: the connection may end with the
-/// answer, and the client resends what was not read.
-async fn read_unless_streaming(
+/// answer, and the client resends what was not read. `memory` is that of a long write.
+async fn read_permitted(
     stream: &mut (impl AsyncRead + Unpin),
     buffer: &mut BytesMut,
     client: &Client,
-) -> io::Result<usize> {
+    memory: Option<&MemoryReservation>,
+) -> ReadResult {
     let mut limited = stream.take(MAX_READ_BYTES as u64);
     let read = limited.read_buf(buffer);
     tokio::pin!(read);
-    poll_fn(|cx| match client.is_streaming.get() {
-        // Polled again after the stream, as its end notifies `Client::changed`.
-        true => Poll::Pending,
-        false => read.as_mut().poll(cx),
+    poll_fn(|cx| {
+        if client.is_streaming.get() {
+            // Polled again after the stream, as its end notifies `Client::changed`.
+            return Poll::Pending;
+        }
+        // Many clients may have waited since there was room for each of them.
+        if memory.is_some_and(|memory| !memory.may_read_more()) {
+            return Poll::Ready(ReadResult::OutOfMemory);
+        }
+        read.as_mut().poll(cx).map(|read| match read {
+            Ok(count) if count > 0 => ReadResult::Received(count),
+            _ => ReadResult::Ended,
+        })
     })
     .await
 }
--- a/crates/router-runtime/src/downstream/read_plan.rs
+++ b/crates/router-runtime/src/downstream/read_plan.rs
@@ -8,12 +8,14 @@
 use super::responses::WRITE_STALL_TIMEOUT;
 use crate::clock::to_duration;
 use crate::environment::{Environment, ReadStream};
-use crate::memory_budget::MemoryReservation;
+use crate::memory_budget::{MemoryBudget, MemoryReservation};
 use crate::mutation::hooks;
-use crate::resp::{CommandFrame, CommandReader, RespError};
-use bytes::BytesMut;
+use crate::resp::{CommandFrame, CommandReader, READ_BYTES, RespError};
+use bytes::{Bytes, BytesMut};
 use process_lifecycle::{FIRST_COMMAND_GRACE, IdleConnectionPolicy};
+use std::collections::VecDeque;
 use std::ops::ControlFlow;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 /// A client that sends no command for this long is closed, as many clients never close unused
@@ -38,7 +40,7 @@
     Shutdown,
     /// The connection is idle and is handed over to the successor, with the bytes read of an
     /// incomplete command.
-    HandOver(BytesMut),
+    HandOver(Vec<Bytes>),
 }
 
 /// The input read so far for the next command.
@@ -47,6 +49,8 @@
     pub reader: CommandReader,
     /// Bytes that have arrived and are not parsed yet.
     pub buffer: BytesMut,
+    /// Bytes that another process has read, and that are not in the buffer yet.
+    backlog: VecDeque<Bytes>,
     /// The memory of a long write.
     pub memory: Option<MemoryReservation>,
     /// The wait of a long write for memory.
@@ -58,12 +62,14 @@
 }
 
 impl CommandInput {
-    /// Input that begins with bytes read before.
-    pub fn new(unread: BytesMut) -> Self {
+    /// Input that begins with bytes read before, which count against `write_memory`.
+    pub fn new(unread: Vec<Bytes>, write_memory: &Rc<MemoryBudget>) -> Self {
+        let unread_bytes = unread.iter().map(Bytes::len).sum();
         CommandInput {
             reader: CommandReader::default(),
-            buffer: unread,
-            memory: None,
+            buffer: BytesMut::new(),
+            backlog: unread.into(),
+            memory: (unread_bytes > READ_BYTES).then(|| write_memory.adopt(unread_bytes)),
             memory_wait: None,
             held_chunk_count: 0,
             value_progress_at: None,
@@ -75,6 +81,19 @@
     /// # Errors
     /// If the input is not a command.
     pub fn next_command(&mut self) -> Result<Option<CommandFrame>, RespError> {
+        loop {
+            let frame = self.next_buffered_command()?;
+            if frame.is_some() {
+                return Ok(frame);
+            }
+            let Some(piece) = self.backlog.pop_front() else {
+                return Ok(None);
+            };
+            self.buffer.extend_from_slice(&piece);
+        }
+    }
+
+    fn next_buffered_command(&mut self) -> Result<Option<CommandFrame>, RespError> {
         let mut frame = self.reader.next(&mut self.buffer)?;
         let chunks = match &mut frame {
             Some(frame) => Some(&mut frame.long_value),
@@ -92,10 +111,26 @@
         Ok(frame)
     }
 
+    /// Takes all bytes read of the incomplete command, as they arrived. Those of a long write count
+    /// as used until they are dropped.
+    fn take_unread(&mut self) -> Vec<Bytes> {
+        let reader = std::mem::take(&mut self.reader);
+        let mut unread = reader.into_unread();
+        let held_count = unread.len();
+        unread.push(std::mem::take(&mut self.buffer).freeze());
+        unread.extend(self.backlog.drain(..));
+        if let Some(memory) = &mut self.memory {
+            for piece in unread.iter_mut().skip(held_count) {
+                *piece = memory.hold(piece);
+            }
+        }
+        unread
+    }
+
     /// Whether no byte of a further command has been read. Full chunks of a long value are not in
     /// the buffer, so the reader is asked as well.
     pub fn is_empty(&self) -> bool {
-        self.buffer.is_empty() && !self.reader.is_in_value()
+        self.buffer.is_empty() && self.backlog.is_empty() && !self.reader.is_in_value()
     }
 }
 
@@ -162,9 +197,7 @@
         let may_read = self.may_read_command(client) && !client.is_streaming.get();
         let can_hand_over = !has_pending && !input.reader.is_discarding_value();
         if policy == IdleConnectionPolicy::HandOver && can_hand_over {
-            let reader = std::mem::take(&mut input.reader);
-            let unread = reader.into_unread(std::mem::take(&mut input.buffer));
-            return ControlFlow::Break(ReadEnd::HandOver(unread));
+            return ControlFlow::Break(ReadEnd::HandOver(input.take_unread()));
         }
         let early_end = early_end(input, policy, client);
         let is_refused = client.is_closing_for_drain.get() && !has_pending;
--- a/crates/router-runtime/src/memory_budget.rs
+++ b/crates/router-runtime/src/memory_budget.rs
@@ -9,6 +9,8 @@
 //! Memory that answers do not use is lent to writes whose clients may already wait for an answer.
 //! A value that needs its budget's own memory takes it back: the latest borrower gives its up.
 //!
+//! The processes of a router share its budgets: what the others use counts as used here.
+//!
 //! The budgets are single-threaded: no borrow is held across an await.
 
 mod held_chunk;
@@ -22,7 +24,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
-use usage::{BudgetUsage, Charge, TotalUsage};
+use usage::{BudgetKind, BudgetUsage, Charge, TotalUsage};
+pub use usage::{MemoryUsage, PeerMemory};
 
 /// The budget is the memory beyond `RESERVED_BYTES`, divided by this.
 const BUDGET_DIVISOR: usize = 3;
@@ -31,7 +34,7 @@
 /// The smallest budget, whatever the memory of the process: two values of maximum size.
 const MIN_BUDGET_BYTES: usize = 2 * MAX_VALUE_BYTES;
 
-/// The memory budgets of one process.
+/// The memory budgets of one router.
 #[derive(Clone, Debug)]
 pub struct MemoryBudgets {
     /// For long writes.
@@ -40,7 +43,7 @@
     pub answers: Rc<MemoryBudget>,
 }
 
-/// One of the memory budgets of a process.
+/// One of the memory budgets of a router.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit_bytes: usize,
@@ -86,11 +89,17 @@
     pub fn new(limit_bytes: usize) -> MemoryBudgets {
         let total = Arc::new(TotalUsage::default());
         MemoryBudgets {
-            writes: MemoryBudget::new(limit_bytes, total.clone()),
-            answers: MemoryBudget::new(limit_bytes, total),
+            writes: MemoryBudget::new(BudgetKind::Writes, limit_bytes, total.clone()),
+            answers: MemoryBudget::new(BudgetKind::Answers, limit_bytes, total),
         }
     }
 
+    /// Shares the budgets with the other processes of this router, or with none from now on. Call it
+    /// as well when the set of processes has changed.
+    pub fn set_peers(&self, peers: Option<Arc<dyn PeerMemory>>) {
+        self.writes.usage.total.set_peers(peers);
+    }
+
     /// If this value waits for memory of its own budget that is lent to a write, makes the latest
     /// write that has borrowed give its memory up.
     pub fn reclaim_for(&self, value: &MemoryReservation) {
@@ -101,10 +110,10 @@
 }
 
 impl MemoryBudget {
-    fn new(limit_bytes: usize, total: Arc<TotalUsage>) -> Rc<MemoryBudget> {
+    fn new(kind: BudgetKind, limit_bytes: usize, total: Arc<TotalUsage>) -> Rc<MemoryBudget> {
         Rc::new(MemoryBudget {
             limit_bytes,
-            usage: Arc::new(BudgetUsage::new(total)),
+            usage: Arc::new(BudgetUsage::new(kind, limit_bytes, total)),
             last_sequence: Cell::new(0),
             arrival_count: Cell::new(0),
             unfinished: RefCell::default(),
@@ -135,6 +144,17 @@
         reservation
     }
 
+    /// Begins a reservation for a value of which another process of the router has read this many
+    /// bytes. What is past this budget counts as borrowed.
+    pub fn adopt(self: &Rc<Self>, bytes: usize) -> MemoryReservation {
+        let mut reservation = self.reserve(0);
+        if self.usage.own_bytes() + bytes > self.limit_bytes {
+            reservation.borrow();
+        }
+        reservation.add(bytes);
+        reservation
+    }
+
     /// Completes when memory of the process's budgets has been released, or when another value may be
     /// the oldest unfinished one.
     pub async fn freed(&self) {
@@ -203,11 +223,6 @@
         self.unfinished.borrow().len()
     }
 
-    /// Whether the budgets of the process together have room, `excess` bytes past their limits.
-    fn has_room_in_total(&self, excess: usize) -> bool {
-        self.usage.total.used_bytes() < 2 * self.limit_bytes + excess
-    }
-
     fn is_oldest_unfinished(&self, sequence: u64) -> bool {
         let unfinished = self.unfinished.borrow();
         unfinished
@@ -220,16 +235,17 @@
     /// Whether more of this value may be read.
     pub fn may_read_more(&self) -> bool {
         let budget = &self.budget;
-        let own_bytes = budget.usage.own_bytes();
-        let has_share = self.is_borrowing() || own_bytes < budget.limit_bytes;
-        if has_share && budget.has_room_in_total(0) {
+        let limit = budget.limit_bytes;
+        let used = budget.usage.shared();
+        let has_share = self.is_borrowing() || used.own_bytes < limit;
+        if has_share && used.total_bytes < 2 * limit {
             return true;
         }
         // Finished values are passed on and release their memory, so the oldest unfinished one of
         // each budget needs at most one value past the limit.
-        let bytes_with_value = own_bytes + self.charge.borrowed_bytes();
-        bytes_with_value < budget.limit_bytes + MAX_VALUE_BYTES
-            && budget.has_room_in_total(2 * MAX_VALUE_BYTES)
+        let bytes_with_value = used.own_bytes + self.charge.borrowed_bytes();
+        bytes_with_value < limit + MAX_VALUE_BYTES
+            && used.total_bytes < 2 * (limit + MAX_VALUE_BYTES)
             && budget.is_oldest_unfinished(self.sequence)
     }
 
@@ -241,7 +257,7 @@
 
     /// Whether this value waits for its budget's own memory, which is lent.
     fn waits_for_lent_memory(&self) -> bool {
-        let has_share = self.budget.usage.own_bytes() < self.budget.limit_bytes;
+        let has_share = self.budget.usage.shared().own_bytes < self.budget.limit_bytes;
         has_share && !self.is_borrowing() && !self.may_read_more()
     }
 
--- a/crates/router-runtime/src/memory_budget/usage.rs
+++ b/crates/router-runtime/src/memory_budget/usage.rs
@@ -1,53 +1,162 @@
 //! Counts the memory of long values. The counters can be released from any thread, as held chunks
 //! are [`bytes::Bytes`].
 
-use std::sync::Arc;
+use std::fmt::Debug;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, PoisonError, RwLock, RwLockReadGuard};
 use tokio::sync::Notify;
 
+/// Long values in memory, in bytes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct MemoryUsage {
+    /// Of writes, in the memory of their own budget.
+    pub writes: usize,
+    /// Of writes, in memory that is borrowed from the other budget.
+    pub borrowed: usize,
+    /// Of answers that are held.
+    pub answers: usize,
+}
+
+impl MemoryUsage {
+    fn total(&self) -> usize {
+        self.writes + self.borrowed + self.answers
+    }
+}
+
+/// The other processes of a router, which share its memory limit with this one.
+pub trait PeerMemory: Debug + Send + Sync {
+    /// Tells the other processes what this one uses.
+    fn publish(&self, usage: MemoryUsage);
+
+    /// What the other processes use; `None` if it is not known.
+    fn usage(&self) -> Option<MemoryUsage>;
+}
+
+/// Which budget a value belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum BudgetKind {
+    Writes,
+    Answers,
+}
+
 /// What all budgets of a process use.
 #[derive(Debug, Default)]
 pub(super) struct TotalUsage {
-    used_bytes: AtomicUsize,
+    writes: AtomicUsize,
+    borrowed: AtomicUsize,
+    answers: AtomicUsize,
     /// Notified when memory is released.
     pub freed: Notify,
+    /// The other processes while there are any.
+    peers: RwLock<Option<Arc<dyn PeerMemory>>>,
 }
 
 impl TotalUsage {
-    /// The memory in use, in bytes.
-    pub fn used_bytes(&self) -> usize {
-        self.used_bytes.load(Relaxed)
+    /// What this process uses.
+    fn usage(&self) -> MemoryUsage {
+        MemoryUsage {
+            writes: self.writes.load(Relaxed),
+            borrowed: self.borrowed.load(Relaxed),
+            answers: self.answers.load(Relaxed),
+        }
+    }
+
+    /// Shares the memory with the other processes, or with none from now on.
+    pub fn set_peers(&self, peers: Option<Arc<dyn PeerMemory>>) {
+        *self.peers.write().unwrap_or_else(PoisonError::into_inner) = peers;
+        self.publish();
+        self.freed.notify_waiters();
+    }
+
+    fn peers(&self) -> RwLockReadGuard<'_, Option<Arc<dyn PeerMemory>>> {
+        self.peers.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the other processes use. While that is not known, they are taken to use half of each
+    /// budget of `limit_bytes`.
+    fn peer_usage(&self, limit_bytes: usize) -> MemoryUsage {
+        let unknown = MemoryUsage {
+            writes: limit_bytes / 2,
+            borrowed: 0,
+            answers: limit_bytes / 2,
+        };
+        match &*self.peers() {
+            Some(peers) => peers.usage().unwrap_or(unknown),
+            None => MemoryUsage::default(),
+        }
+    }
+
+    fn publish(&self) {
+        if let Some(peers) = &*self.peers() {
+            peers.publish(self.usage());
+        }
+    }
+
+    fn counter(&self, kind: BudgetKind, is_borrowed: bool) -> &AtomicUsize {
+        match kind {
+            _ if is_borrowed => &self.borrowed,
+            BudgetKind::Writes => &self.writes,
+            BudgetKind::Answers => &self.answers,
+        }
     }
 }
 
 /// What one budget uses.
 #[derive(Debug)]
 pub(super) struct BudgetUsage {
-    used_bytes: AtomicUsize,
-    /// The part of `used_bytes` that is borrowed from the other budget.
-    borrowed_bytes: AtomicUsize,
+    kind: BudgetKind,
+    limit_bytes: usize,
     /// What the budgets of the process use.
     pub total: Arc<TotalUsage>,
 }
 
+/// What the processes of a router use of one budget, and of all.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SharedUsage {
+    /// Of this budget, without what is borrowed, in bytes.
+    pub own_bytes: usize,
+    /// Of all budgets, in bytes.
+    pub total_bytes: usize,
+}
+
 impl BudgetUsage {
     /// A budget of which nothing is used.
-    pub fn new(total: Arc<TotalUsage>) -> BudgetUsage {
+    pub fn new(kind: BudgetKind, limit_bytes: usize, total: Arc<TotalUsage>) -> BudgetUsage {
         BudgetUsage {
-            used_bytes: AtomicUsize::new(0),
-            borrowed_bytes: AtomicUsize::new(0),
+            kind,
+            limit_bytes,
             total,
         }
     }
 
-    /// The memory in use, in bytes.
+    /// The memory of this process in use, in bytes.
     pub fn used_bytes(&self) -> usize {
-        self.used_bytes.load(Relaxed)
+        let usage = self.total.usage();
+        match self.kind {
+            BudgetKind::Writes => usage.writes + usage.borrowed,
+            BudgetKind::Answers => usage.answers,
+        }
     }
 
-    /// The memory in use that is not borrowed, in bytes.
+    /// The memory of this process in use, without what is borrowed, in bytes.
     pub fn own_bytes(&self) -> usize {
-        self.used_bytes() - self.borrowed_bytes.load(Relaxed)
+        self.counter(false).load(Relaxed)
+    }
+
+    /// What all processes of the router use.
+    pub fn shared(&self) -> SharedUsage {
+        let (own, peers) = (self.total.usage(), self.total.peer_usage(self.limit_bytes));
+        SharedUsage {
+            own_bytes: match self.kind {
+                BudgetKind::Writes => own.writes + peers.writes,
+                BudgetKind::Answers => own.answers + peers.answers,
+            },
+            total_bytes: own.total() + peers.total(),
+        }
+    }
+
+    fn counter(&self, is_borrowed: bool) -> &AtomicUsize {
+        self.total.counter(self.kind, is_borrowed)
     }
 }
 
@@ -72,18 +181,18 @@
     /// Counts more bytes.
     pub fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
-        self.usage.used_bytes.fetch_add(bytes, Relaxed);
-        self.usage.total.used_bytes.fetch_add(bytes, Relaxed);
-        if self.is_borrowed {
-            self.usage.borrowed_bytes.fetch_add(bytes, Relaxed);
-        }
+        let counter = self.usage.counter(self.is_borrowed);
+        counter.fetch_add(bytes, Relaxed);
+        self.usage.total.publish();
     }
 
     /// Counts these bytes, and those added later, as borrowed from the other budget.
     pub fn borrow(&mut self) {
         if !self.is_borrowed {
             self.is_borrowed = true;
-            self.usage.borrowed_bytes.fetch_add(self.bytes, Relaxed);
+            self.usage.counter(false).fetch_sub(self.bytes, Relaxed);
+            self.usage.counter(true).fetch_add(self.bytes, Relaxed);
+            self.usage.total.publish();
         }
     }
 
@@ -106,11 +215,9 @@
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        if self.is_borrowed {
-            self.usage.borrowed_bytes.fetch_sub(self.bytes, Relaxed);
-        }
-        self.usage.used_bytes.fetch_sub(self.bytes, Relaxed);
-        self.usage.total.used_bytes.fetch_sub(self.bytes, Relaxed);
+        let counter = self.usage.counter(self.is_borrowed);
+        counter.fetch_sub(self.bytes, Relaxed);
+        self.usage.total.publish();
         self.usage.total.freed.notify_waiters();
     }
 }
--- a/crates/router-runtime/src/resp/command.rs
+++ b/crates/router-runtime/src/resp/command.rs
@@ -274,20 +274,13 @@
         chunks.map(Bytes::len).sum()
     }
 
-    /// All bytes read of the current command, as they arrived: those taken off the buffer, and the
-    /// buffer.
-    pub fn into_unread(self, buffer: BytesMut) -> BytesMut {
-        let value_length = self.held_bytes();
+    /// The bytes of the current command that were taken off the buffer, as they arrived.
+    pub fn into_unread(self) -> Vec<Bytes> {
         let Some(write) = self.long_write else {
-            return buffer;
+            return Vec::new();
         };
-        let length = write.head.len() + value_length + buffer.len();
-        let mut unread = BytesMut::with_capacity(length);
-        unread.extend_from_slice(&write.head);
-        for chunk in write.frame.long_value {
-            unread.extend_from_slice(&chunk);
-        }
-        unread.extend_from_slice(&buffer);
+        let mut unread = vec![write.head];
+        unread.extend(write.frame.long_value);
         unread
     }
 
--- a/crates/router-runtime/src/runtime.rs
+++ b/crates/router-runtime/src/runtime.rs
@@ -10,7 +10,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::downstream::{ClientConnections, DownstreamConfig, IdleConnection};
 use crate::environment::Environment;
-use crate::memory_budget::MemoryBudgets;
+use crate::memory_budget::{MemoryBudgets, PeerMemory};
 use crate::metrics::{Metrics, ResourceUsage, RouterMetrics};
 use crate::mutation::hooks;
 use crate::upstream::UpstreamPools;
@@ -20,6 +20,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, mpsc};
 
@@ -35,6 +36,7 @@
     discovery: Rc<Discovery<E>>,
     coalescing: Rc<CoalescingStage<E>>,
     clients: Rc<ClientConnections<E>>,
+    memory: MemoryBudgets,
     class_names: Vec<String>,
     lifecycle: Rc<Cell<Lifecycle>>,
     lifecycle_changed: Notify,
@@ -80,7 +82,7 @@
             max_connections: setup.upstream_limits.max_connections,
             lifecycle: lifecycle.clone(),
             metrics,
-            memory,
+            memory: memory.clone(),
         };
         let clients = ClientConnections::new(downstream, environment.clone());
         // Before the first request, so that no request finds an empty hash ring.
@@ -92,6 +94,7 @@
             discovery,
             coalescing,
             clients,
+            memory,
             class_names,
             lifecycle,
             lifecycle_changed: Notify::new(),
@@ -225,6 +228,12 @@
         }
     }
 
+    /// Shares the memory for long values with other processes of this router, or with none from now
+    /// on.
+    pub fn share_memory(&self, peers: Option<Arc<dyn PeerMemory>>) {
+        self.memory.set_peers(peers);
+    }
+
     /// Hands connections over as they become idle, since another process has taken over the
     /// listener.
     pub fn hand_over_to(&self, successor: mpsc::UnboundedSender<IdleConnection<E::Stream>>) {
--- a/crates/router-runtime/src/upstream/response.rs
+++ b/crates/router-runtime/src/upstream/response.rs
@@ -34,6 +34,9 @@
 /// seconds.
 const SERVER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How often an answer that waits for memory is checked.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Result of a wait for more bytes of a response.
 pub(super) enum ReadResult {
     /// Bytes arrived.
@@ -250,7 +253,11 @@
     ) -> io::Result<usize> {
         while !memory.may_read_more() {
             self.memory.reclaim_for(memory);
-            self.memory.answers.freed().await;
+            // Another process of the router frees memory without a notification.
+            let _ = self
+                .environment
+                .timeout(MEMORY_CHECK_INTERVAL, self.memory.answers.freed())
+                .await;
         }
         let wanted = reader.next_read_bytes(&connection.received);
         let count = connection.read_at_most(wanted).await?;
--- a/crates/router-runtime/tests/memory_budget.rs
+++ b/crates/router-runtime/tests/memory_budget.rs
@@ -1,7 +1,8 @@
 //! The memory budget: which values may be read past the limit, and that memory is released.
 
-use router_runtime::memory_budget::{MemoryBudgets, MemoryReservation};
+use router_runtime::memory_budget::{MemoryBudgets, MemoryReservation, MemoryUsage, PeerMemory};
 use router_runtime::resp::MAX_VALUE_BYTES;
+use std::sync::{Arc, Mutex};
 
 #[test]
 fn over_budget_only_the_oldest_unfinished_value_may_be_read() {
@@ -125,3 +126,58 @@
     drop(copy);
     assert_eq!(budgets.writes.used_bytes(), 0);
 }
+
+/// Other processes of the router that use what the test says.
+#[derive(Debug, Default)]
+struct FakePeers {
+    usage: Mutex<Option<MemoryUsage>>,
+    published: Mutex<MemoryUsage>,
+}
+
+impl PeerMemory for FakePeers {
+    fn publish(&self, usage: MemoryUsage) {
+        *self.published.lock().unwrap() = usage;
+    }
+
+    fn usage(&self) -> Option<MemoryUsage> {
+        *self.usage.lock().unwrap()
+    }
+}
+
+/// Guards against two processes that use the whole budget each, and against memory that is not taken
+/// back when the other one has ended.
+#[test]
+fn what_other_processes_use_counts_until_they_have_ended() {
+    let budgets = MemoryBudgets::new(100);
+    let _oldest = budgets.writes.reserve(0);
+    let mut write = budgets.writes.reserve(30);
+    let peers = Arc::new(FakePeers::default());
+    budgets.set_peers(Some(peers.clone()));
+    assert_eq!(peers.published.lock().unwrap().writes, 30);
+    assert!(write.may_read_more());
+    write.add(30);
+    assert!(!write.may_read_more(), "unknown peers use half of it");
+    *peers.usage.lock().unwrap() = Some(MemoryUsage {
+        writes: 39,
+        ..MemoryUsage::default()
+    });
+    assert!(write.may_read_more());
+    write.add(1);
+    assert!(!write.may_read_more());
+    assert_eq!(peers.published.lock().unwrap().writes, 61);
+    budgets.set_peers(None);
+    assert!(write.may_read_more());
+}
+
+#[test]
+fn adopted_writes_past_the_budget_borrow_and_leave_room_for_the_others() {
+    let budgets = MemoryBudgets::new(100);
+    let first = budgets.writes.adopt(90);
+    let second = budgets.writes.adopt(60);
+    assert!(first.may_read_more() && second.may_read_more());
+    let _oldest_answer = budgets.answers.reserve(50);
+    let answer = budgets.answers.reserve(0);
+    assert!(!second.may_read_more() && !answer.may_read_more());
+    budgets.reclaim_for(&answer);
+    assert!(second.is_revoked() && !first.is_revoked());
+}
--- a/crates/router-runtime/tests/resp_command.rs
+++ b/crates/router-runtime/tests/resp_command.rs
@@ -90,7 +90,8 @@
     let mut buffer = BytesMut::from(&text[..2 * CHUNK_BYTES + 300]);
     assert_eq!(reader.next(&mut buffer), Ok(None));
     assert_eq!(reader.held_bytes(), 2 * CHUNK_BYTES);
-    assert!(reader.into_unread(buffer) == text[..2 * CHUNK_BYTES + 300]);
+    let unread = [reader.into_unread().concat(), buffer.to_vec()].concat();
+    assert!(unread == text[..2 * CHUNK_BYTES + 300]);
 }
 
 #[test]
--- a/crates/test-support/src/router_process.rs
+++ b/crates/test-support/src/router_process.rs
@@ -222,6 +222,11 @@
         self.signal("TERM");
     }
 
+    /// Sends SIGKILL.
+    pub fn kill(&self) {
+        self.signal("KILL");
+    }
+
     /// Sends SIGUSR1, on which the router logs the counters of coalescing.
     pub fn log_coalescing_counters(&self) {
         self.signal("USR1");
