Lend memory beside the budgets too, so that slow writes served before are served

Cause: a slow write that waits unread can't be told from a complete one, so it needs memory or is refused; both budgets were in use.

Change: half of what is left beyond both budgets, and beyond the two values that may exceed them, is lent with what is idle in the budgets; nothing at 32 MB. Test: what values may use leaves 16 MiB, or a quarter, to the rest.

--- a/crates/cache-router/tests/write_memory.rs
+++ b/crates/cache-router/tests/write_memory.rs
@@ -111,7 +111,7 @@
     let server = CacheServer::start("s-a");
     server.set_default_behavior(Behavior::StaySilent);
     let (router, _discovery) = start_router_with_little_memory(&server);
-    // Five complete writes hold the memory for writes, and the idle memory for answers, until their
+    // Five complete writes hold the memory for writes, and all that is lent, until their
     // attempts end; the sixth waits.
     let pending: Vec<PartialWrite> = (0..6)
         .map(|number| {
@@ -187,8 +187,8 @@
 /// A value that does not fit a socket's receive buffer, so that the end of its write is not seen
 /// before it is read.
 const LONGER_VALUE_BYTES: usize = 1024 * 1024;
-/// More long writes than fit in the memory for writes and in the idle memory for answers.
-const SLOW_WRITE_COUNT: usize = 8;
+/// More long writes than fit in the memory for writes and in all that is lent.
+const SLOW_WRITE_COUNT: usize = 10;
 /// What a slow client leaves for its pieces.
 const SLOW_REST_BYTES: usize = 500_000;
 const SLOW_PIECE_BYTES: usize = 8_000;
--- a/crates/router-runtime/src/memory_budget.rs
+++ b/crates/router-runtime/src/memory_budget.rs
@@ -6,7 +6,7 @@
 //! by at most one maximum-size value, so that one always finishes; the others wait. A value of which
 //! nothing arrives can be made to give its memory up for those that wait.
 //!
-//! Memory that answers do not use is lent to writes whose clients may already wait for an answer.
+//! Memory that answers do not use, and some beside the budgets, is lent to writes whose clients may already wait for an answer.
 //! A value that needs its budget's own memory takes it back: the latest borrower gives its up.
 //!
 //! The processes of a router share its budgets: what the others use counts as used here.
@@ -31,6 +31,9 @@
 const BUDGET_DIVISOR: usize = 3;
 /// Memory that the process needs for all else, including the buffers of its connections.
 const RESERVED_BYTES: usize = 16 * 1024 * 1024;
+/// What is left of the memory beyond the budgets, and beyond the two values that may exceed them, is
+/// divided by this and lent with what is idle in the budgets.
+const SPARE_DIVISOR: usize = 2;
 /// The smallest budget, whatever the memory of the process: two values of maximum size.
 const MIN_BUDGET_BYTES: usize = 2 * MAX_VALUE_BYTES;
 
@@ -43,10 +46,19 @@
     pub answers: Rc<MemoryBudget>,
 }
 
+/// The limits of a budget.
+#[derive(Clone, Copy, Debug)]
+struct Limits {
+    /// Of each budget, in bytes.
+    budget_bytes: usize,
+    /// Of both budgets with what is lent, in bytes.
+    total_bytes: usize,
+}
+
 /// One of the memory budgets of a router.
 #[derive(Debug)]
 pub struct MemoryBudget {
-    limit_bytes: usize,
+    limits: Limits,
     usage: Arc<BudgetUsage>,
     last_sequence: Cell<u64>,
     /// How often bytes have arrived for any value.
@@ -81,16 +93,28 @@
 impl MemoryBudgets {
     /// The budgets of a process that may use this much memory, in bytes.
     pub fn for_process_memory(bytes: usize) -> MemoryBudgets {
-        let share = bytes.saturating_sub(RESERVED_BYTES) / BUDGET_DIVISOR;
-        MemoryBudgets::new(share.max(MIN_BUDGET_BYTES))
+        let available = bytes.saturating_sub(RESERVED_BYTES);
+        let limit_bytes = (available / BUDGET_DIVISOR).max(MIN_BUDGET_BYTES);
+        let in_budgets = 2 * (limit_bytes + MAX_VALUE_BYTES);
+        let spare_bytes = available.saturating_sub(in_budgets) / SPARE_DIVISOR;
+        MemoryBudgets::with_spare(limit_bytes, spare_bytes)
     }
 
     /// Budgets of `limit_bytes` each.
     pub fn new(limit_bytes: usize) -> MemoryBudgets {
+        MemoryBudgets::with_spare(limit_bytes, 0)
+    }
+
+    /// Budgets of `limit_bytes` each, and memory beyond them that is only lent.
+    fn with_spare(limit_bytes: usize, spare_bytes: usize) -> MemoryBudgets {
+        let limits = Limits {
+            budget_bytes: limit_bytes,
+            total_bytes: 2 * limit_bytes + spare_bytes,
+        };
         let total = Arc::new(TotalUsage::default());
         MemoryBudgets {
-            writes: MemoryBudget::new(BudgetKind::Writes, limit_bytes, total.clone()),
-            answers: MemoryBudget::new(BudgetKind::Answers, limit_bytes, total),
+            writes: MemoryBudget::new(BudgetKind::Writes, limits, total.clone()),
+            answers: MemoryBudget::new(BudgetKind::Answers, limits, total),
         }
     }
 
@@ -110,10 +134,10 @@
 }
 
 impl MemoryBudget {
-    fn new(kind: BudgetKind, limit_bytes: usize, total: Arc<TotalUsage>) -> Rc<MemoryBudget> {
+    fn new(kind: BudgetKind, limits: Limits, total: Arc<TotalUsage>) -> Rc<MemoryBudget> {
         Rc::new(MemoryBudget {
-            limit_bytes,
-            usage: Arc::new(BudgetUsage::new(kind, limit_bytes, total)),
+            limits,
+            usage: Arc::new(BudgetUsage::new(kind, limits.budget_bytes, total)),
             last_sequence: Cell::new(0),
             arrival_count: Cell::new(0),
             unfinished: RefCell::default(),
@@ -148,7 +172,7 @@
     /// bytes. What is past this budget counts as borrowed.
     pub fn adopt(self: &Rc<Self>, bytes: usize) -> MemoryReservation {
         let mut reservation = self.reserve(0);
-        if self.usage.own_bytes() + bytes > self.limit_bytes {
+        if self.usage.own_bytes() + bytes > self.limits.budget_bytes {
             reservation.borrow();
         }
         reservation.add(bytes);
@@ -210,7 +234,7 @@
 
     /// The budget, in bytes.
     pub fn limit_bytes(&self) -> usize {
-        self.limit_bytes
+        self.limits.budget_bytes
     }
 
     /// The memory in use, in bytes.
@@ -235,17 +259,17 @@
     /// Whether more of this value may be read.
     pub fn may_read_more(&self) -> bool {
         let budget = &self.budget;
-        let limit = budget.limit_bytes;
+        let limits = &budget.limits;
         let used = budget.usage.shared();
-        let has_share = self.is_borrowing() || used.own_bytes < limit;
-        if has_share && used.total_bytes < 2 * limit {
+        let has_share = self.is_borrowing() || used.own_bytes < limits.budget_bytes;
+        if has_share && used.total_bytes < limits.total_bytes {
             return true;
         }
         // Finished values are passed on and release their memory, so the oldest unfinished one of
         // each budget needs at most one value past the limit.
         let bytes_with_value = used.own_bytes + self.charge.borrowed_bytes();
-        bytes_with_value < limit + MAX_VALUE_BYTES
-            && used.total_bytes < 2 * (limit + MAX_VALUE_BYTES)
+        bytes_with_value < limits.budget_bytes + MAX_VALUE_BYTES
+            && used.total_bytes < limits.total_bytes + 2 * MAX_VALUE_BYTES
             && budget.is_oldest_unfinished(self.sequence)
     }
 
@@ -257,7 +281,7 @@
 
     /// Whether this value waits for its budget's own memory, which is lent.
     fn waits_for_lent_memory(&self) -> bool {
-        let has_share = self.budget.usage.shared().own_bytes < self.budget.limit_bytes;
+        let has_share = self.budget.usage.shared().own_bytes < self.budget.limits.budget_bytes;
         has_share && !self.is_borrowing() && !self.may_read_more()
     }
 
--- a/crates/router-runtime/tests/memory_budget.rs
+++ b/crates/router-runtime/tests/memory_budget.rs
@@ -181,3 +181,22 @@
     budgets.reclaim_for(&answer);
     assert!(second.is_revoked() && !first.is_revoked());
 }
+
+/// Guards against budgets that together with what is lent and what exceeds them leave too little
+/// memory for all else: 16 MiB, or a quarter where that is less.
+#[test]
+fn all_that_values_may_use_leaves_memory_for_the_rest_of_the_process() {
+    for memory_mb in [32, 48, 64, 192, 2_048] {
+        let memory_bytes = memory_mb << 20;
+        let budgets = MemoryBudgets::for_process_memory(memory_bytes);
+        let _oldest = budgets.writes.reserve(0);
+        let mut write = budgets.writes.reserve(0);
+        write.borrow();
+        while write.may_read_more() {
+            write.add(1_024);
+        }
+        let at_most = budgets.writes.used_bytes() + 2 * MAX_VALUE_BYTES;
+        let rest = (16 << 20).min(memory_bytes / 4);
+        assert!(at_most <= memory_bytes - rest, "{memory_mb} MB: {at_most}");
+    }
+}
