--- a/crates/router-runtime/src/downstream.rs
+++ b/crates/router-runtime/src/downstream.rs
@@ -6,6 +6,7 @@
 mod client;
 mod close;
 mod close_log;
+mod command_input;
 mod commands;
 mod connection;
 mod connections;
--- a/crates/router-runtime/src/downstream/connection.rs
+++ b/crates/router-runtime/src/downstream/connection.rs
@@ -3,9 +3,10 @@
 use super::IdleConnection;
 use super::client::Client;
 use super::close_log::CloseReason;
+use super::command_input::CommandInput;
 use super::commands::error_line;
 use super::connections::{CAPACITY_RETRY_INTERVAL, ClientConnections};
-use super::read_plan::{CommandInput, ReadEnd, ReadPlan};
+use super::read_plan::{ReadEnd, ReadPlan};
 use super::responses::PendingResponse;
 use crate::environment::{Environment, ReadStream, Stream};
 use crate::memory_budget::MemoryReservation;
--- a/crates/router-runtime/src/downstream/memory_wait.rs
+++ b/crates/router-runtime/src/downstream/memory_wait.rs
@@ -11,9 +11,9 @@
 //! ([`UnreadInput`]).
 
 use super::client::Client;
+use super::command_input::CommandInput;
 use super::commands::{name_index, request_timeout};
 use super::connections::ClientConnections;
-use super::read_plan::CommandInput;
 use super::unread_input::UnreadInput;
 use crate::clock::to_duration;
 use crate::environment::{Environment, ReadStream};
