Let a waiting write borrow only after a quarter of its time, and only what is past its budget

Cause: once a waiting write borrowed, all that it had counted as borrowed, so that its own budget seemed free, and others took memory back from it in turn; and with all that is lent at once, 30 and more writes became complete together, of which the servers' limits turn most away, where the budget had let them through one after another.

Change: a value has two charges, one in its own budget and one for what is lent. A write that may be complete waits a quarter of its client's time for its own budget before it borrows.

--- a/crates/router-runtime/src/downstream/memory_wait.rs
+++ b/crates/router-runtime/src/downstream/memory_wait.rs
@@ -25,6 +25,9 @@
 const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// A write waits for this fraction of its client's time before a stalled one gives its memory up.
 const REVOKE_AFTER_FRACTION: f64 = 0.125;
+/// A write whose last byte may have arrived waits for this fraction of its client's time for the memory
+/// of its budget before it borrows. Writes that come at once are so still served one after another.
+const BORROW_AFTER_FRACTION: f64 = 0.25;
 /// A write whose last byte may have arrived waits for this fraction of its client's time before its
 /// value is discarded. The rest is left to read it and to answer.
 const DISCARD_AFTER_FRACTION: f64 = 0.5;
@@ -46,15 +49,18 @@
         now >= self.since + self.timeout.mul_f64(REVOKE_AFTER_FRACTION)
     }
 
-    /// When the value is to be discarded, if its write may be complete.
-    fn discard_at(&self) -> Option<Instant> {
-        let wait = self.timeout.mul_f64(DISCARD_AFTER_FRACTION);
-        self.unread.complete_since().map(|since| since + wait)
+    /// When memory is to be borrowed, if the write may be complete.
+    fn borrow_at(&self) -> Option<Instant> {
+        self.unread
+            .complete_since()
+            .map(|since| since + self.timeout.mul_f64(BORROW_AFTER_FRACTION))
     }
 
-    /// Whether the client may wait for its answer already.
-    fn is_owed(&self) -> bool {
-        self.unread.complete_since().is_some()
+    /// When the value is to be discarded, if its write may be complete.
+    fn discard_at(&self) -> Option<Instant> {
+        self.unread
+            .complete_since()
+            .map(|since| since + self.timeout.mul_f64(DISCARD_AFTER_FRACTION))
     }
 
     /// Records that bytes of the command were read, after waiting for them for this long.
@@ -158,7 +164,8 @@
             None => self.begin_wait(&input.reader, &input.buffer, now),
         };
         wait.unread.observe(unread_bytes, missing, now);
-        if wait.is_owed() {
+        let borrow_at = wait.borrow_at();
+        if borrow_at.is_some_and(|at| now >= at) {
             memory.borrow();
         }
         let discard_at = wait.discard_at();
@@ -174,7 +181,9 @@
             return Ok(());
         }
         let check_at = now + MEMORY_CHECK_INTERVAL;
-        Err(discard_at.map_or(check_at, |at| at.min(check_at)))
+        let changes_at = [borrow_at, discard_at].into_iter().flatten();
+        let next_change = changes_at.filter(|at| *at > now).min();
+        Err(next_change.map_or(check_at, |at| at.min(check_at)))
     }
 
     fn begin_wait(&self, reader: &CommandReader, buffer: &[u8], now: Instant) -> MemoryWait {
--- a/crates/router-runtime/src/memory_budget.rs
+++ b/crates/router-runtime/src/memory_budget.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::Notify;
-use usage::{BudgetKind, BudgetUsage, Charge, TotalUsage};
+use usage::{BudgetKind, BudgetUsage, Charge, Lending, TotalUsage};
 pub use usage::{MemoryUsage, PeerMemory};
 
 /// The budget is the memory beyond `RESERVED_BYTES`, divided by this.
@@ -75,7 +75,7 @@
     last_arrival: Cell<u64>,
     /// Bytes of it have arrived at this machine that are not read for lack of memory.
     has_unread_input: Cell<bool>,
-    /// Its memory is borrowed from the other budget.
+    /// It may be read with memory that is lent.
     is_borrowing: Cell<bool>,
     /// It has to give its memory up.
     is_revoked: Cell<bool>,
@@ -86,7 +86,10 @@
 pub struct MemoryReservation {
     budget: Rc<MemoryBudget>,
     sequence: u64,
-    charge: Charge,
+    /// Memory of its own budget.
+    own: Charge,
+    /// Memory that is lent to it.
+    borrowed: Charge,
     progress: Rc<Progress>,
 }
 
@@ -161,7 +164,8 @@
         let mut reservation = MemoryReservation {
             budget: self.clone(),
             sequence,
-            charge: Charge::none(self.usage.clone()),
+            own: Charge::none(self.usage.clone(), Lending::Own),
+            borrowed: Charge::none(self.usage.clone(), Lending::Borrowed),
             progress,
         };
         reservation.add(arrived);
@@ -174,8 +178,10 @@
         let mut reservation = self.reserve(0);
         if self.usage.own_bytes() + bytes > self.limits.budget_bytes {
             reservation.borrow();
+            reservation.borrowed.add(bytes);
+        } else {
+            reservation.own.add(bytes);
         }
-        reservation.add(bytes);
         reservation
     }
 
@@ -267,16 +273,15 @@
         }
         // Finished values are passed on and release their memory, so the oldest unfinished one of
         // each budget needs at most one value past the limit.
-        let bytes_with_value = used.own_bytes + self.charge.borrowed_bytes();
+        let bytes_with_value = used.own_bytes + self.borrowed.bytes();
         bytes_with_value < limits.budget_bytes + MAX_VALUE_BYTES
             && used.total_bytes < limits.total_bytes + 2 * MAX_VALUE_BYTES
             && budget.is_oldest_unfinished(self.sequence)
     }
 
     /// From now on lets this value be read with memory that the other budget does not use.
-    pub fn borrow(&mut self) {
+    pub fn borrow(&self) {
         self.progress.is_borrowing.set(true);
-        self.charge.borrow();
     }
 
     /// Whether this value waits for its budget's own memory, which is lent.
@@ -291,8 +296,13 @@
 
     /// Records that more of the value has arrived.
     pub fn add(&mut self, bytes: usize) {
-        self.charge.add(bytes);
         let budget = &self.budget;
+        let has_share = budget.usage.shared().own_bytes < budget.limits.budget_bytes;
+        let charge = match self.is_borrowing() && !has_share {
+            true => &mut self.borrowed,
+            false => &mut self.own,
+        };
+        charge.add(bytes);
         budget.arrival_count.set(budget.arrival_count() + 1);
         self.progress.last_arrival.set(budget.arrival_count());
     }
@@ -300,8 +310,9 @@
     /// Holds a chunk of the value that has arrived. Its memory is released, and returned to the
     /// system, as soon as the last copy of the chunk is dropped.
     pub fn hold(&mut self, chunk: &Bytes) -> Bytes {
-        let charge = self.charge.split_off(chunk.len());
-        Bytes::from_owner(HeldChunk::new(chunk, charge))
+        let borrowed = self.borrowed.split_off(chunk.len());
+        let own = self.own.split_off(chunk.len() - borrowed.bytes());
+        Bytes::from_owner(HeldChunk::new(chunk, [own, borrowed]))
     }
 
     /// Records whether bytes of the value have arrived at this machine that are not read for lack of
--- a/crates/router-runtime/src/memory_budget/held_chunk.rs
+++ b/crates/router-runtime/src/memory_budget/held_chunk.rs
@@ -9,10 +9,10 @@
 /// Shorter chunks stay in the heap; a mapping takes whole pages.
 const MIN_MAPPED_BYTES: usize = 16 * 1024;
 
-/// A chunk of a long value, and the charge for it.
+/// A chunk of a long value, and the charges for it.
 pub(super) struct HeldChunk {
     bytes: ChunkBytes,
-    _charge: Charge,
+    _charges: [Charge; 2],
 }
 
 enum ChunkBytes {
@@ -22,7 +22,7 @@
 
 impl HeldChunk {
     /// Copies the bytes of a chunk.
-    pub fn new(bytes: &[u8], charge: Charge) -> HeldChunk {
+    pub fn new(bytes: &[u8], charges: [Charge; 2]) -> HeldChunk {
         let mapped = (bytes.len() >= MIN_MAPPED_BYTES)
             .then(|| MmapMut::map_anon(bytes.len()).ok())
             .flatten();
@@ -34,7 +34,7 @@
                 }
                 None => ChunkBytes::Heap(bytes.into()),
             },
-            _charge: charge,
+            _charges: charges,
         }
     }
 }
--- a/crates/router-runtime/src/memory_budget/usage.rs
+++ b/crates/router-runtime/src/memory_budget/usage.rs
@@ -39,6 +39,15 @@
     Answers,
 }
 
+/// Whose memory a value uses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Lending {
+    /// That of its own budget.
+    Own,
+    /// Memory that is lent to it.
+    Borrowed,
+}
+
 /// What all budgets of a process use.
 #[derive(Debug, Default)]
 pub(super) struct TotalUsage {
@@ -92,11 +101,11 @@
         }
     }
 
-    fn counter(&self, kind: BudgetKind, is_borrowed: bool) -> &AtomicUsize {
-        match kind {
-            _ if is_borrowed => &self.borrowed,
-            BudgetKind::Writes => &self.writes,
-            BudgetKind::Answers => &self.answers,
+    fn counter(&self, kind: BudgetKind, lending: Lending) -> &AtomicUsize {
+        match (kind, lending) {
+            (_, Lending::Borrowed) => &self.borrowed,
+            (BudgetKind::Writes, Lending::Own) => &self.writes,
+            (BudgetKind::Answers, Lending::Own) => &self.answers,
         }
     }
 }
@@ -140,7 +149,7 @@
 
     /// The memory of this process in use, without what is borrowed, in bytes.
     pub fn own_bytes(&self) -> usize {
-        self.counter(false).load(Relaxed)
+        self.counter(Lending::Own).load(Relaxed)
     }
 
     /// What all processes of the router use.
@@ -155,8 +164,8 @@
         }
     }
 
-    fn counter(&self, is_borrowed: bool) -> &AtomicUsize {
-        self.total.counter(self.kind, is_borrowed)
+    fn counter(&self, lending: Lending) -> &AtomicUsize {
+        self.total.counter(self.kind, lending)
     }
 }
 
@@ -164,59 +173,52 @@
 #[derive(Debug)]
 pub(super) struct Charge {
     usage: Arc<BudgetUsage>,
+    lending: Lending,
     bytes: usize,
-    is_borrowed: bool,
 }
 
 impl Charge {
     /// A charge of no bytes.
-    pub fn none(usage: Arc<BudgetUsage>) -> Charge {
+    pub fn none(usage: Arc<BudgetUsage>, lending: Lending) -> Charge {
         Charge {
             usage,
+            lending,
             bytes: 0,
-            is_borrowed: false,
         }
     }
 
+    /// The number of bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Counts more bytes.
     pub fn add(&mut self, bytes: usize) {
         self.bytes += bytes;
-        let counter = self.usage.counter(self.is_borrowed);
-        counter.fetch_add(bytes, Relaxed);
+        self.usage.counter(self.lending).fetch_add(bytes, Relaxed);
         self.usage.total.publish();
     }
 
-    /// Counts these bytes, and those added later, as borrowed from the other budget.
-    pub fn borrow(&mut self) {
-        if !self.is_borrowed {
-            self.is_borrowed = true;
-            self.usage.counter(false).fetch_sub(self.bytes, Relaxed);
-            self.usage.counter(true).fetch_add(self.bytes, Relaxed);
-            self.usage.total.publish();
-        }
-    }
-
-    /// How many of the bytes are borrowed.
-    pub fn borrowed_bytes(&self) -> usize {
-        if self.is_borrowed { self.bytes } else { 0 }
-    }
-
     /// Splits a charge of this many bytes off, or of all if there are fewer.
     pub fn split_off(&mut self, bytes: usize) -> Charge {
         let bytes = bytes.min(self.bytes);
         self.bytes -= bytes;
         Charge {
             usage: self.usage.clone(),
+            lending: self.lending,
             bytes,
-            is_borrowed: self.is_borrowed,
         }
     }
 }
 
 impl Drop for Charge {
     fn drop(&mut self) {
-        let counter = self.usage.counter(self.is_borrowed);
-        counter.fetch_sub(self.bytes, Relaxed);
+        if self.bytes == 0 {
+            return;
+        }
+        self.usage
+            .counter(self.lending)
+            .fetch_sub(self.bytes, Relaxed);
         self.usage.total.publish();
         self.usage.total.freed.notify_waiters();
     }
--- a/crates/router-runtime/tests/memory_budget.rs
+++ b/crates/router-runtime/tests/memory_budget.rs
@@ -200,3 +200,17 @@
         assert!(at_most <= memory_bytes - rest, "{memory_mb} MB: {at_most}");
     }
 }
+
+/// Guards against writes that take each other's memory back in turn once many of them borrow.
+#[test]
+fn what_a_write_had_before_it_borrows_stays_in_its_own_budget() {
+    let budgets = MemoryBudgets::new(100);
+    let _oldest = budgets.writes.reserve(50);
+    let mut borrower = budgets.writes.reserve(50);
+    borrower.borrow();
+    borrower.add(100);
+    let waiting = budgets.writes.reserve(0);
+    assert!(!waiting.may_read_more());
+    budgets.reclaim_for(&waiting);
+    assert!(!borrower.is_revoked(), "the budget's own memory is in use");
+}
