Test rig: a probe for an unused address does not listen, so that the address stays usable

Cause, by the log and the code: unused_addr listened on the address and closed it. A process that another test's thread forks in that moment holds a copy of the listening socket until it executes its program, and the router can't listen beside it. The port is below the ephemeral range and drawn once a process, so no connection of the system has it. Not reproduced.

Change: the probe binds with SO_REUSEADDR, as the router does, and never listens: a copy of it is in nobody's way, and an address on which something listens is still refused to it. No test or check changes.

--- a/crates/test-support/src/network.rs
+++ b/crates/test-support/src/network.rs
@@ -1,5 +1,6 @@
 //! Addresses and listeners that do not respond.
 
+use socket2::{Domain, Socket, Type};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::Duration;
@@ -19,14 +20,24 @@
     let first = FIRST_PORT + range * PORTS_PER_PROCESS;
     loop {
         let port = first + DRAWN_COUNT.fetch_add(1, Ordering::Relaxed);
-        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
-            return listener
-                .local_addr()
-                .expect("failed to read the local address");
+        let addr = SocketAddr::from(([127, 0, 0, 1], port));
+        if is_unused(addr) {
+            return addr;
         }
     }
 }
 
+/// Whether nothing listens on an address. The socket that asks never listens itself: a process that
+/// another thread is just starting holds a copy of it for a moment, beside which the address can
+/// still be used.
+fn is_unused(addr: SocketAddr) -> bool {
+    let bound = Socket::new(Domain::IPV4, Type::STREAM, None).and_then(|socket| {
+        socket.set_reuse_address(true)?;
+        socket.bind(&addr.into())
+    });
+    bound.is_ok()
+}
+
 /// Connects with a receive buffer of this size, in bytes.
 pub fn connect_with_receive_buffer(addr: SocketAddr, bytes: usize) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None)
