Check the length of a handed-over connection without overflow

Found on reading the change again: a length near 2^64 in a message between processes, with a right checksum, would overflow the sum that it is compared with, and panic in a debug build. It is compared with a checked difference now; such a message is malformed, as before.

--- a/crates/hot-restart/src/message.rs
+++ b/crates/hot-restart/src/message.rs
@@ -268,7 +268,8 @@
     let after_variant = first.strip_prefix(&variant[..])?;
     let (length, after_length) = postcard::take_from_bytes::<usize>(after_variant).ok()?;
     let begin_bytes = first.len() - after_length.len();
-    if begin_bytes + length + rest.len() != body_bytes || !last.ends_with(&rest) {
+    let unread_bytes = body_bytes.checked_sub(begin_bytes + rest.len());
+    if unread_bytes != Some(length) || !last.ends_with(&rest) {
         return None;
     }
     let mut unread = body.to_vec();
