Failing tests: reused addresses and routers whose wall clock is stepped

A new LD_PRELOAD library, stepped-clock, moves CLOCK_REALTIME of the router by an offset that a test changes while it runs.

--- a/crates/cache-router/tests/reused_addresses.rs
+++ b/crates/cache-router/tests/reused_addresses.rs
@@ -2,10 +2,15 @@
 //! peers on loopback sockets.
 
 use std::net::SocketAddr;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use test_support::*;
 
 const KEY: &str = "00000000000000aa";
+const MINUTE_MS: i64 = 60_000;
+const HOUR_MS: i64 = 60 * MINUTE_MS;
+/// `drain_grace` of the settings and the slack for sockets, rounded up.
+const DRAIN_GRACE: Duration = Duration::from_millis(450);
 
 struct ReusedAddressFleet {
     router: RouterProcess,
@@ -33,10 +38,15 @@
 
 /// The entry of a process that has started a minute ago, so that it is not cold.
 fn entry_of_new_process(addr: SocketAddr) -> String {
+    entry_started_at("s-new", addr, "up", -MINUTE_MS)
+}
+
+/// The entry of a process whose listed start is `offset_ms` after the present time of this machine.
+fn entry_started_at(name: &str, addr: SocketAddr, health: &str, offset_ms: i64) -> String {
     let now = SystemTime::now().duration_since(UNIX_EPOCH);
-    let started_ms = now.expect("the clock is wrong").as_millis() - 60_000;
-    let started = format!(r#""born_ms":{started_ms}"#);
-    endpoint_entry("s-new", addr, "up").replace(r#""born_ms":0"#, &started)
+    let now_ms = now.expect("the clock is wrong").as_millis() as i64;
+    let started = format!(r#""born_ms":{}"#, now_ms + offset_ms);
+    endpoint_entry(name, addr, health).replace(r#""born_ms":0"#, &started)
 }
 
 fn known_servers(admin: SocketAddr) -> usize {
@@ -76,3 +86,99 @@
     wait_until("the new process serves", both_are_told);
     assert_eq!(known_servers(fleet.admin), 1);
 }
+
+/// A router, a server `s-other`, and a process at whose address `s-old` is listed, with a start in the
+/// future of this machine's clock.
+struct SteppedFleet {
+    router: RouterProcess,
+    discovery: Discovery,
+    reused: CacheServer,
+    other: CacheServer,
+    old_entry: String,
+}
+
+fn start_stepped_fleet(old_start_offset_ms: i64) -> SteppedFleet {
+    let reused = CacheServer::start("s-new");
+    let other = CacheServer::start("s-other");
+    let old_entry = entry_started_at("s-old", reused.addr, "up", old_start_offset_ms);
+    let discovery = Discovery::start(endpoint_list(7, false, &[]));
+    let known = [old_entry.clone(), other.entry("up")];
+    let router = RouterProcess::start(&configuration(discovery.addr, &known));
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    SteppedFleet {
+        router,
+        discovery,
+        reused,
+        other,
+        old_entry,
+    }
+}
+
+impl SteppedFleet {
+    fn new_entry(&self, health: &str) -> String {
+        endpoint_entry("s-new", self.reused.addr, health).replace(
+            r#""born_ms":0"#,
+            &format!(r#""born_ms":{}"#, 1_700_000_000_000_u64),
+        )
+    }
+
+    /// Reads other keys for a while, and returns how many reads reached the reused address.
+    fn reads_at_reused_address(&self, duration: Duration) -> usize {
+        let before = self.reused.commands().len();
+        let mut client = self.router.client();
+        let start = Instant::now();
+        let mut number = 0;
+        while start.elapsed() < duration {
+            client.request("read", &format!("{number:016x}"));
+            number += 1;
+            sleep(Duration::from_millis(5));
+        }
+        self.reused.commands().len() - before
+    }
+}
+
+/// Guards against work for a draining server under the name of one that has gone, which is listed at the
+/// same address with a later start.
+#[test]
+fn nothing_is_sent_to_a_draining_server_at_the_address_of_one_with_a_later_start() {
+    for old_start_offset_ms in [HOUR_MS, MINUTE_MS, -HOUR_MS] {
+        for is_snapshot in [false, true] {
+            let fleet = start_stepped_fleet(old_start_offset_ms);
+            let new = fleet.new_entry("up");
+            fleet
+                .discovery
+                .write_to_watch(&endpoint_list(8, false, &[new]));
+            sleep(Duration::from_millis(100));
+            let mut told = vec![fleet.new_entry("draining")];
+            if is_snapshot {
+                told.extend([fleet.old_entry.clone(), fleet.other.entry("up")]);
+            }
+            fleet
+                .discovery
+                .write_to_watch(&endpoint_list(9, is_snapshot, &told));
+            sleep(DRAIN_GRACE);
+            let late = fleet.reads_at_reused_address(Duration::from_millis(800));
+            assert_eq!(late, 0, "{old_start_offset_ms} ms, {is_snapshot}");
+        }
+    }
+}
+
+/// Guards against a server that is never used, since an entry with a later start was listed at its
+/// address for a moment.
+#[test]
+fn a_server_serves_after_an_entry_with_a_later_start_has_left_its_address() {
+    for old_start_offset_ms in [HOUR_MS, MINUTE_MS, -HOUR_MS] {
+        let fleet = start_stepped_fleet(old_start_offset_ms);
+        let new = fleet.new_entry("up");
+        fleet
+            .discovery
+            .write_to_watch(&endpoint_list(8, false, &[new]));
+        sleep(Duration::from_millis(300));
+        let old = fleet.old_entry.replace(r#""up""#, r#""removed""#);
+        fleet
+            .discovery
+            .write_to_watch(&endpoint_list(9, false, &[old]));
+        let served = fleet.reads_at_reused_address(Duration::from_millis(1_500));
+        assert!(served > 0, "{old_start_offset_ms} ms: no read");
+    }
+}
--- a/crates/test-support/src/router_process.rs
+++ b/crates/test-support/src/router_process.rs
@@ -30,18 +30,22 @@
     directory
 }
 
-/// Returns the path of the router binary: `ASTERPORT_PROGRAM` if set, otherwise cargo's output
-/// directory, which is the parent of the directory of test binaries.
+/// Returns the path of the router binary: `ASTERPORT_PROGRAM` if set, otherwise the one in cargo's
+/// output directory.
 fn binary_path() -> PathBuf {
     if let Some(path) = std::env::var_os("ASTERPORT_PROGRAM") {
         return path.into();
     }
+    output_directory().join("cache-router")
+}
+
+/// Returns cargo's output directory, the parent of the directory of test binaries.
+pub(crate) fn output_directory() -> PathBuf {
     let test = std::env::current_exe().expect("failed to find the test binary");
-    let directory = test
-        .parent()
+    test.parent()
         .and_then(Path::parent)
-        .expect("test binary outside of cargo's output directory");
-    directory.join("cache-router")
+        .expect("test binary outside of cargo's output directory")
+        .into()
 }
 
 /// Options of a process to be started.
--- a/tests/all.sh
+++ b/tests/all.sh
@@ -8,8 +8,9 @@
 cargo fmt --all --check
 cargo clippy --locked --workspace --all-targets -- -D warnings
 RUSTDOCFLAGS="-D warnings" cargo doc --locked --workspace --no-deps --quiet
-cargo build --locked -p failing-system-calls
+cargo build --locked -p failing-system-calls -p stepped-clock
 export ASTERPORT_FAILING_CALLS="$PWD/target/debug/libfailing_system_calls.so"
+export ASTERPORT_STEPPED_CLOCK="$PWD/target/debug/libstepped_clock.so"
 tests/cargo_test.py
 cargo build --release --locked
 cargo run --release --locked --quiet -p load-balancer --example two_routers
--- a/tests/soak.sh
+++ b/tests/soak.sh
@@ -4,6 +4,7 @@
 # Exits with 1 if a rule was broken.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-cargo build --release --locked --quiet -p cache-router -p router-soak -p failing-system-calls
+cargo build --release --locked --quiet -p cache-router -p router-soak -p failing-system-calls -p stepped-clock
 export ASTERPORT_FAILING_CALLS="$PWD/target/release/libfailing_system_calls.so"
+export ASTERPORT_STEPPED_CLOCK="$PWD/target/release/libstepped_clock.so"
 ASTERPORT_PROGRAM="$PWD/target/release/cache-router" exec target/release/router-soak "$@"
