--- a/crates/admin-api/src/metrics.rs
+++ b/crates/admin-api/src/metrics.rs
@@ -38,7 +38,7 @@
 impl Collector for MetricsCollector {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> fmt::Result {
         self.encode_requests_by_class(&mut encoder)?;
-        self.encode_attempts(&mut encoder)?;
+        self.encode_counters(&mut encoder)?;
         self.encode_gauges(&mut encoder)?;
         self.encode_memory(&mut encoder)
     }
@@ -80,14 +80,25 @@
         Ok(())
     }
 
-    fn encode_attempts(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
-        let counter = ConstCounter::new(self.0.attempts_written);
-        counter.encode(encoder.encode_descriptor(
-            "upstream_tries",
-            "Attempts written whole to cache servers",
-            None,
-            counter.metric_type(),
-        )?)
+    fn encode_counters(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
+        let counters = [
+            (
+                "upstream_tries",
+                "Attempts written whole to cache servers",
+                self.0.attempts_written,
+            ),
+            (
+                "discovery_calls",
+                "Calls to discovery",
+                self.0.discovery_calls,
+            ),
+        ];
+        for (name, help, count) in counters {
+            let counter = ConstCounter::new(count);
+            let metric_type = counter.metric_type();
+            counter.encode(encoder.encode_descriptor(name, help, None, metric_type)?)?;
+        }
+        Ok(())
     }
 
     fn encode_gauges(&self, encoder: &mut DescriptorEncoder<'_>) -> fmt::Result {
@@ -108,6 +119,16 @@
                 "Listed cache servers that are avoided now",
                 metrics.endpoints_avoided,
             ),
+            (
+                "address_conflicts",
+                "Cache servers listed as ready at an address that another process has",
+                metrics.endpoints_without_address,
+            ),
+            (
+                "list_version",
+                "Version of the list of cache servers",
+                usize::try_from(metrics.list_version).unwrap_or(usize::MAX),
+            ),
         ];
         for (name, help, value) in gauges {
             let gauge = ConstGauge::new(value as i64);
--- a/crates/cache-router/src/admin_state.rs
+++ b/crates/cache-router/src/admin_state.rs
@@ -5,10 +5,11 @@
 //! Single-threaded: no `RefCell` borrow is held across an await point.
 
 use crate::Runtime;
+use crate::stored_state;
 use admin_api::RouterControl;
-use hot_restart::message::{HandoverState, Message, StoredOverride};
+use hot_restart::message::{HandoverState, Message};
 use hot_restart::store::{StateStore, StoreError};
-use load_balancer::{AdminOverride, Micros, ServerId};
+use load_balancer::{OverrideSource, ServerId};
 use router_runtime::Metrics;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -77,8 +78,11 @@
         match message {
             Message::Override(server, stored) => {
                 let server = ServerId::from(server.as_str());
-                self.runtime
-                    .apply_admin_overrides([(server, from_stored(stored))]);
+                let admin_override = stored_state::from_other_process(stored, self.runtime.now());
+                self.runtime.apply_admin_overrides(
+                    [(server, admin_override)],
+                    OverrideSource::OtherProcess,
+                );
                 self.save();
             }
             Message::Drained(true) => self.runtime.drain_router(),
@@ -87,14 +91,6 @@
         }
     }
 
-    /// Returns all overrides in their stored form.
-    pub fn stored_overrides(&self) -> Vec<(String, StoredOverride)> {
-        let overrides = self.runtime.admin_overrides().into_iter();
-        overrides
-            .map(|(server, admin_override)| (server.to_string(), to_stored(admin_override)))
-            .collect()
-    }
-
     fn send_to_peers(&self, message: &Message) {
         self.peers
             .borrow_mut()
@@ -106,7 +102,7 @@
     fn save(&self) {
         let Some(store) = &self.store else { return };
         let state = HandoverState {
-            overrides: self.stored_overrides(),
+            overrides: stored_state::stored_overrides(&self.runtime),
             ..HandoverState::default()
         };
         let saved = store.save(state);
@@ -158,8 +154,7 @@
     /// Saves a server's override that has just changed, and sends it to the other processes.
     fn publish_override(&self, server: &str) {
         self.save();
-        let changed = self
-            .stored_overrides()
+        let changed = stored_state::stored_overrides(&self.runtime)
             .into_iter()
             .find(|(name, _)| name == server);
         if let Some((name, stored)) = changed {
@@ -203,18 +198,3 @@
         self.send_to_peers(&Message::Drained(false));
     }
 }
-
-fn to_stored(admin_override: AdminOverride) -> StoredOverride {
-    match admin_override {
-        AdminOverride::Disabled => StoredOverride::Disabled,
-        AdminOverride::EnabledAt(at) => StoredOverride::EnabledAt(at.0),
-    }
-}
-
-/// Converts an override from its stored form.
-pub fn from_stored(stored: StoredOverride) -> AdminOverride {
-    match stored {
-        StoredOverride::Disabled => AdminOverride::Disabled,
-        StoredOverride::EnabledAt(at) => AdminOverride::EnabledAt(Micros(at)),
-    }
-}
--- a/crates/cache-router/src/hand_over.rs
+++ b/crates/cache-router/src/hand_over.rs
@@ -4,6 +4,7 @@
 use crate::Runtime;
 use crate::admin_state::AdminState;
 use crate::shared_memory::SharedMemory;
+use crate::stored_state;
 use crate::takeover::READINESS_POLL_INTERVAL;
 use hot_restart::Unread;
 use hot_restart::channel::{ChannelError, HandoverChannel, MessageReceiver, Received};
@@ -114,10 +115,10 @@
         let watched = self.runtime.endpoint_list();
         let endpoints = serde_json::to_vec(&watched.endpoints).ok();
         HandoverState {
-            overrides: self.admin_state.stored_overrides(),
+            overrides: stored_state::stored_overrides(&self.runtime),
             drained: self.runtime.lifecycle().is_drained(),
             endpoint_list: endpoints.map(|endpoints| (watched.discovery, endpoints)),
-            warm_state: postcard::to_stdvec(&self.runtime.warm_state()).unwrap_or_default(),
+            warm_state: stored_state::stored_warm_state(&self.runtime),
         }
     }
 
--- a/crates/cache-router/src/main.rs
+++ b/crates/cache-router/src/main.rs
@@ -11,6 +11,7 @@
 mod process;
 mod shared_memory;
 mod signals;
+mod stored_state;
 mod summary;
 mod takeover;
 
--- a/crates/cache-router/src/process.rs
+++ b/crates/cache-router/src/process.rs
@@ -2,12 +2,13 @@
 //! state of the predecessor process, serves requests, and hands over to its successor.
 
 use crate::Runtime;
-use crate::admin_state::{self, AdminState};
+use crate::admin_state::AdminState;
 use crate::configuration::{Configuration, ConfigurationError};
 use crate::hand_over::HandOver;
 use crate::operator_file::{OperatorFile, OperatorFileError};
 use crate::shared_memory::SharedMemory;
 use crate::signals::{self, Signals};
+use crate::stored_state;
 use crate::summary;
 use crate::takeover::{self, Predecessor};
 use hot_restart::channel::HandoverChannel;
@@ -15,7 +16,7 @@
 use hot_restart::rendezvous::RendezvousSocket;
 use hot_restart::store::StateStore;
 use hot_restart::{InheritError, inherited_listener};
-use load_balancer::ServerId;
+use load_balancer::OverrideSource;
 use load_balancer::deployment::Deployment;
 use request_coalescing::{CoalescingRules, SettingsError};
 use router_runtime::tokio_environment::{self, TokioEnvironment};
@@ -162,14 +163,19 @@
     ) -> Result<Process, StartError> {
         let mut configuration = settings.configuration;
         let store = state_store(&configuration.name);
-        let (predecessor, mut state) = match predecessor {
-            Some(Predecessor { channel, state }) => (Some(channel), state),
-            None => (None, store.as_ref().map(load_state).unwrap_or_default()),
+        let (predecessor, mut state, source) = match predecessor {
+            Some(Predecessor { channel, state }) => {
+                (Some(channel), state, OverrideSource::PreviousProcess)
+            }
+            None => {
+                let state = store.as_ref().map(load_state).unwrap_or_default();
+                (None, state, OverrideSource::StateFile)
+            }
         };
         let endpoints = initial_endpoints(&mut configuration, state.endpoint_list.take());
         let endpoint_count = endpoints.endpoint_count();
         let runtime = build_runtime(&configuration, settings.runtime_settings, endpoints)?;
-        restore(&runtime, state);
+        stored_state::restore(&runtime, state, source);
         let listener = open_listener(configuration.listen)?;
         let local_addr = listener.local_addr().map_err(StartError::LocalAddress)?;
         let admin_state = AdminState::new(runtime.clone(), store, predecessor.is_some());
@@ -321,23 +327,6 @@
     }
 }
 
-/// Restores the predecessor's state in the runtime. Overrides come first, because restoring the
-/// warm state depends on them.
-fn restore(runtime: &Runtime, state: HandoverState) {
-    let overrides = state.overrides.into_iter().map(|(server, stored)| {
-        let server = ServerId::from(server.as_str());
-        (server, admin_state::from_stored(stored))
-    });
-    runtime.apply_admin_overrides(overrides);
-    // A warm state that cannot be decoded is ignored: the router starts without it.
-    if let Ok(warm_state) = postcard::from_bytes(&state.warm_state) {
-        runtime.restore_warm_state(warm_state);
-    }
-    if state.drained {
-        runtime.drain_router();
-    }
-}
-
 /// Opens the listener for clients: the inherited one that `GW_FD` names, otherwise a new one.
 fn open_listener(addr: SocketAddr) -> Result<TcpListener, StartError> {
     let Ok(number) = std::env::var(LISTENER_VARIABLE) else {
--- a/crates/load-balancer/src/admin_overrides.rs
+++ b/crates/load-balancer/src/admin_overrides.rs
@@ -1,11 +1,12 @@
 //! Servers that operators disabled or enabled.
 //!
-//! Keeps the latest override of each server by name, with the time at which it was enabled (µs). An
-//! override applies regardless of the endpoint list, even to a server that is not listed yet.
+//! Keeps the latest override of each server by name, with the time at which it was enabled, on this
+//! process's clock. An override applies regardless of the endpoint list, even to a server that is not listed yet.
 
 use crate::ids::ServerId;
 use crate::time::Micros;
 use std::collections::BTreeMap;
+use std::fmt;
 
 /// Maximum number of overrides, larger than any fleet. A further one replaces the override of the
 /// server that was enabled first, or that of a disabled server if all are disabled.
@@ -21,6 +22,30 @@
     EnabledAt(Micros),
 }
 
+/// Who reports an override.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OverrideSource {
+    /// An operator, at this process.
+    Operator,
+    /// Another running process of this router.
+    OtherProcess,
+    /// The state of the previous process.
+    PreviousProcess,
+    /// The state on disk.
+    StateFile,
+}
+
+impl fmt::Display for OverrideSource {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            OverrideSource::Operator => "an operator",
+            OverrideSource::OtherProcess => "the other process",
+            OverrideSource::PreviousProcess => "the previous process",
+            OverrideSource::StateFile => "the state file",
+        })
+    }
+}
+
 /// The overrides by server. They are kept when a server leaves the endpoint list.
 #[derive(Debug, Default)]
 pub(crate) struct AdminOverrides(BTreeMap<ServerId, AdminOverride>);
@@ -44,14 +69,11 @@
         self.set(server, AdminOverride::Disabled);
     }
 
-    /// Puts a server back into service at `at`. Returns false if that changes nothing: the server
-    /// is not disabled, and the event is not the report of another process with a later time than
-    /// the one known here.
-    pub fn enable(&mut self, server: ServerId, at: Micros, now: Micros) -> bool {
-        // The clock of another process may be ahead.
-        let at = at.min(now);
-        let is_reported_later = at < now && at > self.enabled_at(&server);
-        let is_change = self.is_disabled(&server) || is_reported_later;
+    /// Puts a server back into service at `at`. Returns false if that changes nothing: an operator
+    /// enables a server that is not disabled. What another process reports is always a change, since
+    /// its reports arrive in their order.
+    pub fn enable(&mut self, server: ServerId, at: Micros, source: OverrideSource) -> bool {
+        let is_change = self.is_disabled(&server) || source != OverrideSource::Operator;
         if is_change {
             self.set(server, AdminOverride::EnabledAt(at));
         }
--- a/crates/load-balancer/src/diagnostics.rs
+++ b/crates/load-balancer/src/diagnostics.rs
@@ -96,12 +96,30 @@
         let is_avoided = |server: &&Server| match server.availability() {
             Availability::Disabled => true,
             Availability::Accepting => server.is_unresponsive(self.now, self.shortest_objective),
-            Availability::Draining | Availability::Removed => false,
+            Availability::Draining | Availability::AddressTaken | Availability::Removed => false,
         };
         let cache_servers = self.servers.iter().filter(|server| !server.is_origin);
         cache_servers.filter(is_avoided).count()
     }
 
+    /// Number of listed cache servers, without those whose address another process has.
+    pub fn listed_endpoints(&self) -> usize {
+        let has_address = |server: &&Server| {
+            !matches!(
+                server.availability(),
+                Availability::AddressTaken | Availability::Removed
+            ) && !server.claim.is_superseded
+        };
+        self.servers.iter().filter(has_address).count()
+    }
+
+    /// Number of servers that are listed as ready and not used, since another process has their
+    /// address.
+    pub fn endpoints_without_address(&self) -> usize {
+        let is_without = |server: &&Server| server.availability() == Availability::AddressTaken;
+        self.servers.iter().filter(is_without).count()
+    }
+
     /// The availability of a server; `None` if this router does not know it.
     pub fn availability(&self, server: &ServerId) -> Option<Availability> {
         let index = self.servers.index_of(&server.0)?;
--- a/crates/load-balancer/src/event.rs
+++ b/crates/load-balancer/src/event.rs
@@ -1,5 +1,6 @@
 //! Events: the input of [`Router::handle`](crate::Router::handle).
 
+use crate::admin_overrides::OverrideSource;
 use crate::endpoint::{Endpoint, EndpointUpdate};
 use crate::ids::{AttemptNumber, RequestId, ServerId, TenantId};
 use crate::request::{AttemptEnd, Request};
@@ -28,6 +29,8 @@
         server: ServerId,
         /// When it was enabled; in the past if another process reports it.
         at: Micros,
+        /// Who reports it.
+        source: OverrideSource,
     },
     /// A request arrived; it gets exactly one final answer.
     Request(Request),
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -51,6 +51,7 @@
 //! ```
 
 mod action;
+mod address_ownership;
 mod admin_overrides;
 mod admission;
 mod attempt_feedback;
@@ -92,10 +93,10 @@
 mod warm_state;
 
 pub use action::Action;
-pub use admin_overrides::AdminOverride;
+pub use admin_overrides::{AdminOverride, OverrideSource};
 pub use availability::Availability;
 pub use diagnostics::{Diagnostics, TrackedCounts};
-pub use endpoint::{Endpoint, EndpointState, EndpointUpdate};
+pub use endpoint::{Endpoint, EndpointState, EndpointUpdate, ProcessAge};
 pub use event::Event;
 pub use ids::{
     AttemptNumber, CellId, ClassId, MachineKindId, RequestId, ServerId, TenantId, ZoneId,
@@ -109,5 +110,5 @@
     Rules, Settings, SettingsError, Tenant, WeightKind,
 };
 pub use silent_watch::{CallRetryPolicy, SilentWatchPolicy};
-pub use time::Micros;
+pub use time::{Micros, WallTime};
 pub use warm_state::WarmState;
--- a/crates/load-balancer/src/retry.rs
+++ b/crates/load-balancer/src/retry.rs
@@ -15,6 +15,7 @@
 use crate::endpoint::Endpoint;
 use crate::pending::PendingRequest;
 use crate::request::{AttemptEnd, Outcome};
+use crate::server_table::Server;
 use crate::settings::{Class, DeduplicationScope, Idempotency, Limits};
 use crate::time::Micros;
 
@@ -156,13 +157,13 @@
 }
 
 /// Whether a request that may have run at `first` may also be sent to `candidate` now. A keyed request
-/// may be if `candidate` is in the same deduplication scope, ran when the request was first sent, so
-/// that it has heard of the key, and the deduplication window has not passed.
+/// may be if `candidate` is in the same deduplication scope and was known when the request was first
+/// sent, so that it has heard of the key, and the deduplication window has not passed.
 pub(crate) fn idempotency_allows(
     idempotency: Idempotency,
     first: PossibleRun<'_>,
     now: Micros,
-    candidate: &Endpoint,
+    candidate: &Server,
 ) -> bool {
     let PossibleRun {
         endpoint: first,
@@ -175,14 +176,15 @@
             scope,
             deduplication_window,
         } => {
+            let endpoint = &candidate.endpoint;
             let is_in_scope = match scope {
                 DeduplicationScope::All => true,
-                DeduplicationScope::Zone => first.zone == candidate.zone,
+                DeduplicationScope::Zone => first.zone == endpoint.zone,
                 DeduplicationScope::Cell => {
-                    first.zone == candidate.zone && first.cell == candidate.cell
+                    first.zone == endpoint.zone && first.cell == endpoint.cell
                 }
             };
-            let has_heard_of_key = candidate.started <= sent_at;
+            let has_heard_of_key = candidate.known_since <= sent_at;
             is_in_scope && has_heard_of_key && now.since(sent_at) < deduplication_window
         }
     }
--- a/crates/load-balancer/src/router.rs
+++ b/crates/load-balancer/src/router.rs
@@ -9,6 +9,7 @@
 mod fleet;
 
 use crate::action::Action;
+use crate::address_ownership::AddressOwnership;
 use crate::admin_overrides::AdminOverrides;
 use crate::admission::{PriorityContext, ServerLimits};
 use crate::concurrency_limit::{INITIAL_TOTAL_IN_FLIGHT, SLOW_RATIO};
@@ -45,6 +46,9 @@
     actions: Vec<Action>,
     pub(crate) servers: ServerTable,
     pub(crate) admin_overrides: AdminOverrides,
+    address_ownership: AddressOwnership,
+    /// When the timer for addresses is due; `None` if none is set.
+    address_release_at: Option<Micros>,
     pub(crate) ring: Ring,
     pub(crate) pending: PendingRequests,
     rejected_requests: RejectedRequests,
@@ -91,6 +95,8 @@
             actions: Vec::new(),
             servers: ServerTable::default(),
             admin_overrides: AdminOverrides::default(),
+            address_ownership: AddressOwnership::default(),
+            address_release_at: None,
             ring: Ring::default(),
             pending: PendingRequests::default(),
             rejected_requests: RejectedRequests::new(),
@@ -125,7 +131,9 @@
                 self.on_endpoints_changed(update, endpoints);
             }
             Event::ServerDisabled { server } => self.on_server_disabled(server),
-            Event::ServerEnabled { server, at } => self.on_server_enabled(server, at),
+            Event::ServerEnabled { server, at, source } => {
+                self.on_server_enabled(server, at, source);
+            }
             Event::Request(request) => self.on_request(request),
             Event::StreamStarted { id, .. } => self.on_stream_started(id),
             Event::AttemptEnded(end) => self.on_attempt_ended(end),
@@ -144,6 +152,7 @@
     fn on_timer(&mut self, token: u64) {
         match timer::purpose(token) {
             TimerPurpose::Subscription => self.subscribe(),
+            TimerPurpose::Address => self.on_address_timer(),
             TimerPurpose::Placement => self.on_placement_timer(timer::request(token)),
             TimerPurpose::Deadline => self.on_deadline(timer::request(token)),
         }
--- a/crates/load-balancer/src/router/attempts.rs
+++ b/crates/load-balancer/src/router/attempts.rs
@@ -171,7 +171,7 @@
                 sent_at: first.sent_at,
             },
             self.now,
-            &self.servers[index].endpoint,
+            &self.servers[index],
         )
     }
 
--- a/crates/load-balancer/src/router/fleet.rs
+++ b/crates/load-balancer/src/router/fleet.rs
@@ -2,6 +2,8 @@
 
 use super::Router;
 use crate::action::Action;
+use crate::address_ownership::{OwnershipChange, PreviousClaim};
+use crate::admin_overrides::OverrideSource;
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::endpoint::{Endpoint, EndpointUpdate};
 use crate::ids::{RequestId, ServerId};
@@ -19,29 +21,66 @@
         update: EndpointUpdate,
         endpoints: Vec<Endpoint>,
     ) {
-        if matches!(update, EndpointUpdate::Snapshot | EndpointUpdate::Restored) {
+        let is_in_order = update != EndpointUpdate::SnapshotOfOtherServer;
+        self.address_ownership.begin_update(is_in_order);
+        let previous: Vec<_> = endpoints
+            .iter()
+            .map(|endpoint| self.previous_claim(endpoint))
+            .collect();
+        if update.is_whole_list() {
             self.servers.mark_all_removed();
         }
-        for endpoint in endpoints {
-            self.on_endpoint(endpoint);
+        // Known processes first, so that new ones do not take their places in the table.
+        let mut new_processes = Vec::new();
+        for (endpoint, previous) in endpoints.into_iter().zip(previous) {
+            let name = endpoint.server.clone();
+            match self.servers.update_known_process(endpoint) {
+                Some(endpoint) => new_processes.push((endpoint, previous)),
+                None => self.on_known_process(&name, previous),
+            }
+        }
+        for (endpoint, previous) in new_processes {
+            self.on_new_process(endpoint, previous);
         }
-        self.has_discovery_list |=
-            matches!(update, EndpointUpdate::Delta | EndpointUpdate::Snapshot);
+        self.has_discovery_list |= matches!(
+            update,
+            EndpointUpdate::Delta
+                | EndpointUpdate::Snapshot
+                | EndpointUpdate::SnapshotOfOtherServer
+        );
         self.on_availability_changed();
         if let DiscoveryMode::Subscribe { poll_within } = self.settings.discovery {
             self.on_subscription_update(update, poll_within);
         }
     }
 
-    fn on_endpoint(&mut self, endpoint: Endpoint) {
-        let Some(endpoint) = self.servers.update_known_process(endpoint) else {
-            return;
-        };
+    /// What is listed under the name of an entry before an update.
+    fn previous_claim(&self, endpoint: &Endpoint) -> Option<PreviousClaim> {
+        let index = self.servers.index_of(&endpoint.server.0)?;
+        Some(PreviousClaim::of(&self.servers[index]))
+    }
+
+    /// A process that had left the list and is named again claims its address anew.
+    fn on_known_process(&mut self, name: &ServerId, previous: Option<PreviousClaim>) {
+        let index = self.servers.index_of(&name.0);
+        let returned = index.filter(|&index| {
+            previous.is_some_and(|previous| !previous.was_listed())
+                && !self.servers[index].is_removed()
+        });
+        if let Some(index) = returned {
+            self.address_ownership
+                .add_process(&mut self.servers, index, previous, self.now);
+        }
+    }
+
+    fn on_new_process(&mut self, endpoint: Endpoint, previous: Option<PreviousClaim>) {
         let deadlines = self.settings.classes.iter().map(|class| class.deadline);
         let longest_deadline = deadlines.max().unwrap_or_default();
         let name = &endpoint.server;
         let index = self.servers.choose_index(name, self.now, longest_deadline);
         self.install_process(index, endpoint);
+        self.address_ownership
+            .add_process(&mut self.servers, index, previous, self.now);
     }
 
     /// Installs a server process at an index without observations: it goes through slow start and
@@ -60,7 +99,8 @@
         let limit = ConcurrencyLimit::new(0, self.initial_limit);
         let mut server = Server::new(endpoint, ring_positions, limit);
         server.started_at =
-            estimate_process_start(server.endpoint.started, self.now, self.has_discovery_list);
+            estimate_process_start(server.endpoint.age, self.now, self.has_discovery_list);
+        server.known_since = self.now;
         server.is_origin = is_origin;
         // Random, so that routers that learn of the server at the same time do not all send at
         // once.
@@ -87,20 +127,79 @@
 
     /// Puts a server that was enabled at `at` back into service with slow start: its process may be
     /// new even if the endpoint list has an old start time.
-    pub(super) fn on_server_enabled(&mut self, server: ServerId, at: Micros) {
-        if !self.admin_overrides.enable(server.clone(), at, self.now) {
+    pub(super) fn on_server_enabled(
+        &mut self,
+        server: ServerId,
+        at: Micros,
+        source: OverrideSource,
+    ) {
+        let at = at.min(self.now);
+        if !self.admin_overrides.enable(server.clone(), at, source) {
             return;
         }
         if let Some(index) = self.servers.index_of(&server.0) {
             let endpoint = self.servers[index].endpoint.clone();
+            let claim = self.servers[index].claim;
             self.actions.push(Action::CloseIdle { server });
             self.install_process(index, endpoint);
+            self.servers[index].claim = claim;
             self.on_availability_changed();
         }
     }
 
+    /// Decides anew who uses which address. A server that may use its address again counts as just started,
+    /// since the process there may be another one.
+    fn resolve_addresses(&mut self) {
+        let changes = self.address_ownership.resolve(&mut self.servers, self.now);
+        for change in &changes {
+            let index = change.server;
+            self.log_ownership_change(change);
+            if change.owns_address {
+                self.servers[index].possible_restart_at = self.now;
+                self.servers[index].known_since = self.now;
+                self.key_locations.remove_server(index);
+            }
+            let server = self.servers[index].endpoint.server.clone();
+            self.actions.push(Action::CloseIdle { server });
+        }
+        let release = self.address_ownership.next_release();
+        if let Some(at) = release.filter(|_| release != self.address_release_at) {
+            self.set_timer(at.since(self.now), RequestId(0), TimerPurpose::Address);
+        }
+        self.address_release_at = release;
+    }
+
+    fn log_ownership_change(&mut self, change: &OwnershipChange) {
+        let describe = |index: usize| {
+            let Endpoint {
+                server,
+                state,
+                started,
+                ..
+            } = &self.servers[index].endpoint;
+            format!("{server} ({state:?}, started {started})")
+        };
+        let server = describe(change.server);
+        let address = self.servers[change.server].endpoint.address;
+        let address = address.map_or_else(String::new, |address| address.to_string());
+        let text = match (change.owns_address, change.other.map(describe)) {
+            (true, _) => format!("{server} may use {address} again"),
+            (false, Some(other)) => format!("{server} does not use {address}: {other} is there"),
+            (false, None) => {
+                format!("{server} does not use {address}: a process there has left the list")
+            }
+        };
+        self.actions.push(Action::Log(text));
+    }
+
+    /// Checks whether addresses may be used again.
+    pub(super) fn on_address_timer(&mut self) {
+        self.on_availability_changed();
+    }
+
     /// Updates the mean weight and the ring after the availability of servers changed.
     fn on_availability_changed(&mut self) {
+        self.resolve_addresses();
         self.servers.update_mean_weight();
         let is_ring_current = self
             .servers
--- a/crates/load-balancer/src/server_table.rs
+++ b/crates/load-balancer/src/server_table.rs
@@ -4,6 +4,7 @@
 //! list is reused once no pending request can refer to it, so that the table does not grow beyond
 //! the size of the fleet.
 
+use crate::address_ownership::AddressClaim;
 use crate::availability::Availability;
 use crate::concurrency_limit::ConcurrencyLimit;
 use crate::endpoint::{Endpoint, EndpointState};
@@ -26,6 +27,10 @@
     pub endpoint: Endpoint,
     /// When the process started, on this router's clock; zero for long ago.
     pub started_at: Micros,
+    /// When this router first knew of the process.
+    pub known_since: Micros,
+    /// Its claim to its address.
+    pub claim: AddressClaim,
     /// Its positions on the ring; empty for an origin.
     pub ring_positions: Vec<u32>,
     pub is_origin: bool,
@@ -53,7 +58,9 @@
     /// Creates the state of a process without observations.
     pub fn new(endpoint: Endpoint, ring_positions: Vec<u32>, limit: ConcurrencyLimit) -> Server {
         Server {
-            started_at: endpoint.started,
+            started_at: Micros(0),
+            known_since: Micros(0),
+            claim: AddressClaim::default(),
             endpoint,
             ring_positions,
             is_origin: false,
@@ -72,7 +79,11 @@
 
     /// What the server may be used for.
     pub fn availability(&self) -> Availability {
-        Availability::new(self.endpoint.state, self.is_disabled)
+        Availability::new(
+            self.endpoint.state,
+            self.is_disabled,
+            self.claim.owns_address,
+        )
     }
 
     /// Whether the server left the endpoint list.
@@ -114,10 +125,16 @@
         self.responsiveness.record_end(end, shortest_objective);
     }
 
-    /// Whether idle connections to the server must be closed, because the deployment requires that
-    /// on drains and the server takes no new requests.
+    /// Whether idle connections to the server must be closed: another process has its address, or the
+    /// deployment requires that on drains and the server takes no new requests.
     pub fn must_close_idle(&self, rules: &Rules) -> bool {
-        rules.drain_close.is_some() && !self.is_accepting()
+        let closes_on_drain = rules.drain_close.is_some() && !self.is_accepting();
+        closes_on_drain || self.availability() == Availability::AddressTaken
+    }
+
+    /// Whether an endpoint list entry names the same process.
+    pub fn is_same_process(&self, endpoint: &Endpoint) -> bool {
+        self.endpoint.started == endpoint.started && self.endpoint.address == endpoint.address
     }
 
     /// Whether the server is unresponsive.
@@ -157,6 +174,11 @@
         self.servers.len()
     }
 
+    /// All servers in index order, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Server> {
+        self.servers.iter_mut()
+    }
+
     /// All servers in index order.
     pub fn iter(&self) -> impl Iterator<Item = &Server> {
         self.servers.iter()
@@ -186,7 +208,7 @@
     pub fn update_known_process(&mut self, endpoint: Endpoint) -> Option<Endpoint> {
         let index = self.index_of(&endpoint.server.0);
         let known = index.map(|index| &mut self.servers[index]);
-        match known.filter(|server| server.endpoint.started == endpoint.started) {
+        match known.filter(|server| server.is_same_process(&endpoint)) {
             Some(server) => {
                 server.endpoint = endpoint;
                 None
--- a/crates/load-balancer/src/slow_start.rs
+++ b/crates/load-balancer/src/slow_start.rs
@@ -1,7 +1,7 @@
 //! Limits the load of a server that is warming up.
 //!
-//! The inputs are the start time of the server's process or the time of its possible restart, and
-//! the time at which this router last sent it a request (all in µs on this process's clock), and
+//! The inputs are the age of the server's process when it was listed or the time of its possible
+//! restart, and the time at which this router last sent it a request (on this process's clock), and
 //! the rules of the deployment. The results are the progress of the slow start, the fraction of its
 //! capacity that the server has (both 0 to 1), and whether it may be sent one more request.
 //!
@@ -9,6 +9,7 @@
 //! overload it before any of them observes that it is slow.
 
 use crate::concurrency_limit::INITIAL_TOTAL_IN_FLIGHT;
+use crate::endpoint::ProcessAge;
 use crate::server_table::Server;
 use crate::settings::Rules;
 use crate::time::Micros;
@@ -18,26 +19,24 @@
 const SAFE_LOAD_RATIO: f64 = 0.75;
 
 /// The greatest age that is accepted for a newly listed process. An endpoint list may arrive this
-/// late; a greater age more likely comes from a difference between the clocks of two machines.
+/// late.
 const MAX_NEW_PROCESS_AGE: Micros = Micros::from_millis(1_000);
 
 /// Estimates when a process of a server started, on this process's clock; zero means long ago.
-/// `listed_start` is the time on the endpoint list, which may stem from another clock.
 /// `is_newly_listed` says that the previous list did not contain this process.
 pub(crate) fn estimate_process_start(
-    listed_start: Micros,
+    age: ProcessAge,
     received_at: Micros,
     is_newly_listed: bool,
 ) -> Micros {
-    if listed_start == Micros(0) {
-        return listed_start;
+    match age {
+        ProcessAge::Old => Micros(0),
+        ProcessAge::Known(age) if is_newly_listed => {
+            received_at.since(age.min(MAX_NEW_PROCESS_AGE))
+        }
+        ProcessAge::Known(age) => received_at.since(age),
+        ProcessAge::Unknown => received_at,
     }
-    let earliest = if is_newly_listed {
-        received_at.since(MAX_NEW_PROCESS_AGE)
-    } else {
-        Micros(0)
-    };
-    listed_start.max(earliest).min(received_at)
 }
 
 impl Server {
--- a/crates/load-balancer/src/subscription.rs
+++ b/crates/load-balancer/src/subscription.rs
@@ -101,7 +101,9 @@
                 self.count_failure();
                 SubscriptionStep::RetryAfter(self.retry_delay(poll_within, random))
             }
-            EndpointUpdate::Delta | EndpointUpdate::Snapshot => {
+            EndpointUpdate::Delta
+            | EndpointUpdate::Snapshot
+            | EndpointUpdate::SnapshotOfOtherServer => {
                 *self = Subscription {
                     is_subscribed: true,
                     ..Subscription::new(self.stagger_fraction, self.routers)
--- a/crates/load-balancer/src/time.rs
+++ b/crates/load-balancer/src/time.rs
@@ -1,6 +1,43 @@
-//! Instants and durations in whole microseconds.
+//! Times. [`Micros`] are instants of this process and durations; [`WallTime`] is a time on a wall
+//! clock. The two cannot be converted into each other, compared or subtracted.
 
-/// An instant or a duration in whole microseconds. Instants may count from any fixed origin.
+use std::fmt;
+
+/// A time on the wall clock of some machine, in microseconds since the Unix epoch; 0 if it is unknown.
+///
+/// Wall clocks differ between machines and are stepped, so the type has neither an order nor a
+/// difference. Equal times identify the same event, such as the start of a process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct WallTime(u64);
+
+impl WallTime {
+    /// A time that is not known.
+    pub const UNKNOWN: WallTime = WallTime(0);
+
+    /// Creates a time from microseconds since the Unix epoch.
+    pub const fn from_unix_micros(micros: u64) -> WallTime {
+        WallTime(micros)
+    }
+
+    /// Creates a time from milliseconds since the Unix epoch.
+    pub const fn from_unix_millis(millis: u64) -> WallTime {
+        WallTime(millis.saturating_mul(1_000))
+    }
+
+    /// Microseconds since the Unix epoch, for stored forms.
+    pub const fn unix_micros(self) -> u64 {
+        self.0
+    }
+}
+
+impl fmt::Display for WallTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}", self.0 / 1_000_000, self.0 % 1_000_000)
+    }
+}
+
+/// An instant of this process or a duration, in whole microseconds. Instants count from a fixed origin
+/// and are monotonic. Zero is before the start of the process; it stands for long ago or never.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Micros(pub u64);
 
--- a/crates/load-balancer/src/timer.rs
+++ b/crates/load-balancer/src/timer.rs
@@ -14,6 +14,8 @@
     Placement,
     /// The router subscribes to the endpoint list again.
     Subscription,
+    /// An address may be used again after the process there has left the endpoint list.
+    Address,
 }
 
 /// The token of a timer, which its event carries.
@@ -22,6 +24,7 @@
         TimerPurpose::Deadline => 0,
         TimerPurpose::Placement => 1,
         TimerPurpose::Subscription => 2,
+        TimerPurpose::Address => 3,
     };
     u64::from(id.0) << PURPOSE_BITS | code
 }
@@ -29,6 +32,7 @@
 /// The purpose in a token.
 pub(crate) fn purpose(token: u64) -> TimerPurpose {
     match token & ((1 << PURPOSE_BITS) - 1) {
+        3 => TimerPurpose::Address,
         2 => TimerPurpose::Subscription,
         1 => TimerPurpose::Placement,
         _ => TimerPurpose::Deadline,
--- a/crates/load-balancer/src/warm_state.rs
+++ b/crates/load-balancer/src/warm_state.rs
@@ -7,7 +7,7 @@
 
 use crate::router::Router;
 use crate::server_table::Server;
-use crate::time::Micros;
+use crate::time::{Micros, WallTime};
 use crate::traffic_estimate::KeyCount;
 use serde::{Deserialize, Serialize};
 
@@ -25,10 +25,11 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 struct WarmServer {
     name: String,
-    /// In microseconds, as all times here.
+    /// On the clock of another machine, in microseconds since the Unix epoch.
     started: u64,
     limit: f64,
     typical_latency: u64,
+    /// When the process started, or may last have restarted; 0 for long ago.
     possible_restart_at: u64,
     last_sent_at: u64,
     slow_start_credit: f64,
@@ -55,6 +56,33 @@
     retry_tokens: f64,
 }
 
+impl WarmState {
+    /// Moves all times from a clock that shows `from` at this moment to one that shows `to`. Ages stay
+    /// the same, as far as they are not longer than the other clock has run.
+    pub fn moved_to_clock(mut self, from: u64, to: u64) -> WarmState {
+        let moved = |time: u64| match time {
+            0 => 0,
+            time => to.saturating_sub(from.saturating_sub(time)),
+        };
+        for server in &mut self.servers {
+            server.possible_restart_at = moved(server.possible_restart_at);
+            server.last_sent_at = moved(server.last_sent_at);
+        }
+        self
+    }
+
+    /// Replaces times of which the age is unknown: whatever may have happened counts as having happened
+    /// at `now`.
+    pub fn without_ages(mut self, now: Micros) -> WarmState {
+        for server in &mut self.servers {
+            let may_be_cold = server.started != 0 || server.possible_restart_at != 0;
+            server.possible_restart_at = if may_be_cold { now.0 } else { 0 };
+            server.last_sent_at = now.0;
+        }
+        self
+    }
+}
+
 /// Whether a restored share or count is valid.
 fn is_valid(value: f64) -> bool {
     value.is_finite() && (0.0..VALID_VALUE_BOUND).contains(&value)
@@ -95,10 +123,10 @@
     fn warm_server(&self, server: &Server) -> WarmServer {
         WarmServer {
             name: server.endpoint.server.to_string(),
-            started: server.endpoint.started.0,
+            started: server.endpoint.started.unix_micros(),
             limit: server.limit.current(self.now),
             typical_latency: server.typical_latency.0,
-            possible_restart_at: server.possible_restart_at.0,
+            possible_restart_at: server.started_at.max(server.possible_restart_at).0,
             last_sent_at: server.last_sent_at.0,
             slow_start_credit: server.slow_start_allowance_needed,
         }
@@ -128,7 +156,8 @@
 
     fn index_of_same_process(&self, warm: &WarmServer) -> Option<usize> {
         let index = self.servers.index_of(&warm.name)?;
-        let is_same = self.servers[index].endpoint.started == Micros(warm.started);
+        let started = WallTime::from_unix_micros(warm.started);
+        let is_same = self.servers[index].endpoint.started == started;
         is_same.then_some(index)
     }
 
@@ -175,6 +204,8 @@
         server.limit.restore(now, warm.limit);
     }
     server.typical_latency = Micros(warm.typical_latency).min(MAX_LATENCY);
+    // The restored time covers the start of the process.
+    server.started_at = Micros(0);
     let possible_restart_at = Micros(warm.possible_restart_at).min(now);
     server.possible_restart_at = server.possible_restart_at.max(possible_restart_at);
     server.last_sent_at = Micros(warm.last_sent_at).min(now);
--- a/crates/load-balancer/tests/admin_overrides.rs
+++ b/crates/load-balancer/tests/admin_overrides.rs
@@ -12,7 +12,11 @@
 
 fn enable(rig: &mut TestRouter, server: ServerId) -> Vec<Action> {
     let at = rig.now;
-    rig.event(Event::ServerEnabled { server, at })
+    rig.event(Event::ServerEnabled {
+        server,
+        at,
+        source: OverrideSource::Operator,
+    })
 }
 
 /// Number of a hundred keys that are sent to the first server.
@@ -43,7 +47,8 @@
     let mut rig = TestRouter::new(settings(), ready(3));
     disable(&mut rig, name(1));
     let fresh = Endpoint {
-        started: ms(99_000),
+        started: WallTime::from_unix_millis(99_000),
+        age: ProcessAge::Unknown,
         ..Endpoint::ready(name(1))
     };
     let gone = Endpoint {
@@ -104,7 +109,8 @@
     rig.update_endpoints(
         EndpointUpdate::Delta,
         vec![Endpoint {
-            started: rig.now,
+            started: WallTime::from_unix_millis(99_000),
+            age: ProcessAge::Unknown,
             ..Endpoint::ready(name(1))
         }],
     );
@@ -153,7 +159,11 @@
     for (server, value) in overrides {
         let event = match value {
             AdminOverride::Disabled => Event::ServerDisabled { server },
-            AdminOverride::EnabledAt(at) => Event::ServerEnabled { server, at },
+            AdminOverride::EnabledAt(at) => Event::ServerEnabled {
+                server,
+                at,
+                source: OverrideSource::PreviousProcess,
+            },
         };
         new.event(event);
     }
@@ -199,7 +209,8 @@
     let mut old = TestRouter::new(settings(), ready(2));
     let baseline = share(&mut old);
     let fresh = Endpoint {
-        started: ms(99_000),
+        started: WallTime::from_unix_millis(99_000),
+        age: ProcessAge::Unknown,
         ..Endpoint::ready(name(1))
     };
     let mut new = TestRouter::new(settings(), vec![fresh, Endpoint::ready(name(2))]);
--- a/crates/load-balancer/tests/retries.rs
+++ b/crates/load-balancer/tests/retries.rs
@@ -195,21 +195,38 @@
 }
 
 /// Guards against a keyed request that runs again at a process that has come up since, and has not heard of
-/// its key.
+/// its key. The listed start times lie on either side of the request's time.
 #[test]
-fn a_keyed_request_is_not_retried_at_a_process_that_started_after_it_was_sent() {
+fn a_keyed_request_is_not_retried_at_a_process_that_was_told_after_it_was_sent() {
     const SENT_AT_MS: u64 = 100_000;
-    for (started_ms, is_retried) in [(SENT_AT_MS - 10, true), (SENT_AT_MS + 10, false)] {
-        let mut endpoints = ready(3);
-        for endpoint in &mut endpoints {
-            endpoint.started = ms(started_ms);
-        }
-        let mut rig = TestRouter::new(settings(), endpoints);
+    for (is_told_after, started_ms) in [(false, 10), (false, SENT_AT_MS + 10), (true, 10)] {
+        let restarted = |number| Endpoint {
+            started: WallTime::from_unix_millis(started_ms),
+            age: ProcessAge::Known(ms(40_000)),
+            ..Endpoint::ready(name(number))
+        };
+        let first_list = if is_told_after {
+            ready(3)
+        } else {
+            [1, 2, 3].map(restarted).to_vec()
+        };
+        let mut rig = TestRouter::new(settings(), first_list);
         assert_eq!(rig.now, ms(SENT_AT_MS));
         let (id, actions) = rig.request(2, 5);
-        assert!(sent(&actions).is_some(), "started at {started_ms} ms");
-        rig.now = rig.now.plus(ms(40));
+        let first = sent(&actions).expect("a send");
+        if is_told_after {
+            let others = [1, 2, 3]
+                .into_iter()
+                .filter(|&number| name(number) != first);
+            rig.now = rig.now.plus(ms(10));
+            rig.update_endpoints(EndpointUpdate::Delta, others.map(restarted).collect());
+        }
+        rig.now = rig.now.plus(ms(30));
         let actions = rig.end_attempt(id, 0, Outcome::ConnectionLost, 40);
-        assert_eq!(sent(&actions).is_some(), is_retried, "{started_ms} ms");
+        assert_eq!(
+            sent(&actions).is_some(),
+            !is_told_after,
+            "told after the request: {is_told_after}, started at {started_ms} ms"
+        );
     }
 }
--- a/crates/load-balancer/tests/slow_start.rs
+++ b/crates/load-balancer/tests/slow_start.rs
@@ -12,7 +12,7 @@
 fn a_server_in_slow_start_takes_a_growing_part_of_its_arcs() {
     let keys_at_age = |age: u64| {
         let mut endpoints = ready(4);
-        endpoints[0].started = ms(100_000 - age);
+        endpoints[0].age = ProcessAge::Known(ms(age));
         let mut rig = TestRouter::new(settings(), endpoints);
         (0..4_000)
             .filter(|&key| rig.served_by(key) == Some(name(1)))
@@ -65,7 +65,7 @@
 fn a_fleet_in_slow_start_serves_all_keys() {
     let mut endpoints = ready(4);
     for endpoint in &mut endpoints {
-        endpoint.started = ms(99_000);
+        endpoint.age = ProcessAge::Known(ms(1_000));
     }
     let mut rig = TestRouter::new(settings(), endpoints);
     let mut served = 0;
@@ -82,7 +82,7 @@
 #[test]
 fn many_routers_together_stay_within_a_slow_start_allowance() {
     let mut endpoints = ready(4);
-    endpoints[0].started = ms(85_000);
+    endpoints[0].age = ProcessAge::Known(ms(15_000));
     let mut router = TestRouter::new(settings(), endpoints.clone());
     let key = (0..)
         .find(|&key| router.served_by(key) == Some(name(1)))
@@ -121,7 +121,7 @@
 fn the_one_warm_server_is_found_among_many_in_slow_start() {
     let mut endpoints = ready(60);
     for endpoint in &mut endpoints[1..] {
-        endpoint.started = ms(99_990);
+        endpoint.age = ProcessAge::Known(ms(10));
     }
     let mut rig = TestRouter::new(settings(), endpoints);
     let found = (0..200).filter(|&key| {
@@ -144,7 +144,9 @@
         rig.now = received_at;
         let mut restarted = Endpoint::ready(name(1));
         let received_at_ms = i64::try_from(received_at.0 / 1_000).expect("in range");
-        restarted.started = ms((received_at_ms + listed_start_offset_ms).unsigned_abs());
+        let started_ms = (received_at_ms + listed_start_offset_ms).unsigned_abs();
+        restarted.started = WallTime::from_unix_millis(started_ms);
+        restarted.age = ProcessAge::Unknown;
         rig.update_endpoints(EndpointUpdate::Delta, vec![restarted]);
         rig.now = received_at.plus(ms(age));
         (0..2_000)
@@ -182,7 +184,11 @@
         server: server.clone(),
     });
     let at = rig.now.plus(ms(3_600_000));
-    rig.event(Event::ServerEnabled { server, at });
+    rig.event(Event::ServerEnabled {
+        server,
+        at,
+        source: OverrideSource::OtherProcess,
+    });
     rig.now = rig.now.plus(ms(30_500));
     let warm = (0..2_000)
         .filter(|&key| rig.served_by(key) == Some(name(1)))
--- a/crates/router-runtime/src/clock.rs
+++ b/crates/router-runtime/src/clock.rs
@@ -1,24 +1,40 @@
-//! The decision library's clock. It is monotonic and starts at the Unix time of the process's
-//! start, so that it can be compared with the start times of cache servers in the endpoint list.
+//! The decision library's clock: monotonic, and independent of the wall clock. The wall clock is read
+//! only to be shown in the log and to be stored for other processes.
 
 use crate::environment::Environment;
-use load_balancer::Micros;
+use load_balancer::{Micros, WallTime};
+use std::fmt;
 use std::time::{Duration, Instant};
 
+/// The time at which the clock of each process starts. Times that a previous process tells of may lie
+/// this far in the past.
+const START: Micros = Micros::from_millis(24 * 3_600 * 1_000);
+
 /// Converts between instants of the environment and times of the decision library.
 pub struct Clock<E> {
     environment: E,
     start: Instant,
-    unix_start: Micros,
+}
+
+/// A moment as the log shows it.
+#[derive(Clone, Copy, Debug)]
+pub struct LogTime {
+    since_start: Micros,
+    wall: WallTime,
+}
+
+impl fmt::Display for LogTime {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let seconds = self.since_start.as_secs_f64();
+        write!(f, "at {seconds:.6} s, wall clock {}", self.wall)
+    }
 }
 
 impl<E: Environment> Clock<E> {
-    /// Creates a clock that starts at the environment's wall-clock time.
+    /// Creates a clock that starts now.
     pub fn new(environment: E) -> Self {
-        let unix_start = Micros(environment.unix_now().as_micros() as u64);
         Clock {
             start: environment.now(),
-            unix_start,
             environment,
         }
     }
@@ -28,15 +44,23 @@
         self.to_micros(self.environment.now())
     }
 
+    /// The current time for the log: since the start of the clock, and on the wall clock.
+    pub fn log_time(&self) -> LogTime {
+        LogTime {
+            since_start: self.now().since(START),
+            wall: self.environment.wall_now(),
+        }
+    }
+
     /// Converts an instant; instants before the start count as the start.
     pub fn to_micros(&self, instant: Instant) -> Micros {
         let since_start = instant.saturating_duration_since(self.start);
-        self.unix_start.plus(Micros(since_start.as_micros() as u64))
+        START.plus(to_micros(since_start))
     }
 
     /// Converts a time to an instant; times before the start count as the start.
     pub fn to_instant(&self, at: Micros) -> Instant {
-        self.start + to_duration(at.since(self.unix_start))
+        self.start + to_duration(at.since(START))
     }
 }
 
--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -14,6 +14,7 @@
 mod address_owner;
 mod endpoint_table;
 mod error;
+mod list_log;
 mod reconnect;
 mod watch;
 mod watch_set;
@@ -126,6 +127,11 @@
         self.addr.get()
     }
 
+    /// Version of the current endpoint list.
+    pub fn list_version(&self) -> u64 {
+        self.endpoints.version()
+    }
+
     /// The current endpoint list.
     pub fn list(&self) -> EndpointList {
         self.endpoints.list()
@@ -133,14 +139,18 @@
 
     /// Closes the watch and opens one at this address at once.
     pub fn set_addr(&self, addr: SocketAddr) {
-        self.addr.set(addr);
-        self.endpoints.reset_version();
+        if self.addr.replace(addr) == addr {
+            self.endpoints.reset_version();
+        } else {
+            self.endpoints.expect_other_server();
+        }
         self.addr_changed.notify_one();
     }
 
     /// Opens a watch whenever the decision library subscribes, a call is due or the address has
     /// changed. Runs until the process ends.
     pub async fn run(self: Rc<Self>) {
+        self.endpoints.log_initial_list();
         let mut schedule = CallSchedule::default();
         if self.is_push {
             self.schedule_immediate_call(&mut schedule);
@@ -192,8 +202,11 @@
     /// Logs the loss of a watch: one line per outage, not one per failed call.
     fn log_loss(&self, lost: &LostWatch, schedule: &mut CallSchedule) {
         if lost.failed_call_at.is_none() || !schedule.has_lost_watch {
-            self.environment
-                .log(format_args!("discovery watch lost: {}", lost.error));
+            self.environment.log(format_args!(
+                "discovery watch lost: {}, {}",
+                lost.error,
+                self.dispatcher.log_time()
+            ));
         }
         schedule.has_lost_watch = true;
     }
@@ -353,7 +366,8 @@
         self.failed_call_logged_at.set(Some(now));
         let waited = since(call.called_at).as_secs_f64();
         self.environment.log(format_args!(
-            "discovery call failed after {waited:.3} s: {error}"
+            "discovery call failed after {waited:.3} s: {error}, {}",
+            self.dispatcher.log_time()
         ));
     }
 
@@ -362,9 +376,10 @@
         if !progress.is_answered.replace(true) {
             let waited = self.environment.now() - progress.called_at;
             self.environment.log(format_args!(
-                "discovery answered after {:.3} s, version {}",
+                "discovery answered after {:.3} s, version {}, {}",
                 waited.as_secs_f64(),
-                self.endpoints.version()
+                self.endpoints.version(),
+                self.dispatcher.log_time()
             ));
         }
     }
--- a/crates/router-runtime/src/discovery/endpoint_table.rs
+++ b/crates/router-runtime/src/discovery/endpoint_table.rs
@@ -3,6 +3,7 @@
 //! decision library keeps its own state of the servers in its `ServerTable`.
 
 use super::address_owner::{owners_of_snapshot, with_removed_owners};
+use super::list_log;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::{EndpointList, Health, ListedEndpoint};
 use crate::environment::Environment;
@@ -10,8 +11,8 @@
 use crate::upstream::UpstreamPools;
 use load_balancer::deployment::Names;
 use load_balancer::{
-    AdminOverride, CellId, Endpoint, EndpointState, EndpointUpdate, MachineKindId, Micros,
-    ServerId, ZoneId,
+    AdminOverride, CellId, Endpoint, EndpointState, EndpointUpdate, MachineKindId, OverrideSource,
+    ProcessAge, ServerId, WallTime, ZoneId,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashSet};
@@ -28,6 +29,8 @@
     upstream: Rc<UpstreamPools<E>>,
     /// Version of the list, as counted by the current discovery server.
     version: Cell<u64>,
+    /// Whether the next list comes from another discovery server than the current one.
+    is_server_changed: Cell<bool>,
     /// By server name.
     entries: RefCell<BTreeMap<String, ListedEndpoint>>,
 }
@@ -46,6 +49,7 @@
             dispatcher,
             upstream,
             version: Cell::new(0),
+            is_server_changed: Cell::new(false),
             entries: RefCell::default(),
         })
     }
@@ -55,11 +59,17 @@
         self.version.get()
     }
 
-    /// Resets the version to 0: each discovery server counts its own versions.
+    /// Resets the version to 0, for a new watch on the same discovery server.
     pub fn reset_version(&self) {
         self.version.set(0);
     }
 
+    /// Expects the next list from another discovery server, which counts its own versions.
+    pub fn expect_other_server(&self) {
+        self.is_server_changed.set(true);
+        self.reset_version();
+    }
+
     /// The whole current list.
     pub fn list(&self) -> EndpointList {
         EndpointList {
@@ -76,21 +86,24 @@
 
     /// Applies a list that the watch brought: a snapshot or a delta.
     pub fn update(self: &Rc<Self>, list: EndpointList) {
-        let update = if list.is_snapshot {
-            EndpointUpdate::Snapshot
-        } else {
-            EndpointUpdate::Delta
+        let update = match (list.is_snapshot, self.is_server_changed.take()) {
+            (true, true) => EndpointUpdate::SnapshotOfOtherServer,
+            (true, false) => EndpointUpdate::Snapshot,
+            (false, _) => EndpointUpdate::Delta,
         };
         self.apply(list, update);
     }
 
     fn apply(self: &Rc<Self>, list: EndpointList, update: EndpointUpdate) {
-        let is_snapshot = update != EndpointUpdate::Delta;
-        let entries = match is_snapshot {
+        // The list at the start is logged once the process runs.
+        if update != EndpointUpdate::Restored {
+            self.log_update(&list, update);
+        }
+        let entries = match update.is_whole_list() {
             true => owners_of_snapshot(list.entries),
             false => with_removed_owners(list.entries, &self.entries.borrow()),
         };
-        self.store_list(is_snapshot, &entries);
+        self.store_list(update.is_whole_list(), &entries);
         let table = self.clone();
         let entries = hooks::listed_endpoints(&self.environment, update, entries, move |delayed| {
             table.apply_entries(delayed, EndpointUpdate::Delta);
@@ -99,6 +112,35 @@
         self.apply_entries(entries, update);
     }
 
+    /// Logs the list that the router starts with.
+    pub fn log_initial_list(&self) {
+        let list = self.list();
+        let known = BTreeMap::new();
+        self.environment.log(format_args!(
+            "endpoint list: list at the start, version {}, {} entries, {}{}",
+            list.version,
+            list.entries.len(),
+            self.dispatcher.log_time(),
+            list_log::describe_changes(&known, &list.entries, true),
+        ));
+    }
+
+    fn log_update(&self, list: &EndpointList, update: EndpointUpdate) {
+        let known = self.entries.borrow();
+        let changes = list_log::describe_changes(&known, &list.entries, update.is_whole_list());
+        if changes.is_empty() && update == EndpointUpdate::Delta {
+            return;
+        }
+        self.environment.log(format_args!(
+            "endpoint list: {}, version {} after {}, {} entries, {}{changes}",
+            list_log::source(update),
+            list.version,
+            self.version.get(),
+            list.entries.len(),
+            self.dispatcher.log_time(),
+        ));
+    }
+
     /// Updates the addresses before the decision library, whose actions need them.
     fn apply_entries(&self, entries: Vec<ListedEndpoint>, update: EndpointUpdate) {
         let mut endpoints = Vec::with_capacity(entries.len());
@@ -108,16 +150,16 @@
                 &endpoint.server,
                 entry.addr,
                 endpoint.state,
-                entry.started_ms,
+                endpoint.started,
             );
             endpoints.push(endpoint);
         }
         hooks::lift_overrides(&endpoints, |server| {
             let enabled = AdminOverride::EnabledAt(self.dispatcher.now());
             self.dispatcher
-                .apply_admin_override(server.clone(), enabled);
+                .apply_admin_override(server.clone(), enabled, OverrideSource::Operator);
         });
-        if update != EndpointUpdate::Delta {
+        if update.is_whole_list() {
             let listed_servers: HashSet<&ServerId> =
                 endpoints.iter().map(|endpoint| &endpoint.server).collect();
             self.upstream
@@ -145,7 +187,12 @@
             zone: position(&self.names.zones, entry.zone.as_ref()).map(ZoneId),
             cell: CellId(entry.cell),
             kind: position(&self.names.kinds, entry.kind.as_ref()).map(MachineKindId),
-            started: Micros::from_millis(entry.started_ms),
+            address: None,
+            started: WallTime::from_unix_millis(entry.started_ms),
+            age: match entry.started_ms {
+                0 => ProcessAge::Old,
+                _ => ProcessAge::Unknown,
+            },
             weight,
         }
     }
--- a/crates/router-runtime/src/dispatcher.rs
+++ b/crates/router-runtime/src/dispatcher.rs
@@ -12,7 +12,7 @@
 mod stage_requests;
 mod timers;
 
-use crate::clock::{Clock, to_duration};
+use crate::clock::{Clock, LogTime, to_duration};
 use crate::environment::Environment;
 use crate::metrics::ResourceUsage;
 use crate::mutation::hooks;
@@ -22,7 +22,7 @@
 use attempts::AttemptParams;
 use load_balancer::{
     Action, AdminOverride, AttemptNumber, Availability, Diagnostics, Endpoint, EndpointUpdate,
-    Event, Micros, Request, RequestId, Router, ServerId, WarmState,
+    Event, Micros, OverrideSource, Request, RequestId, Router, ServerId, WarmState,
 };
 use open_requests::{OpenRequest, OpenRequests, ResponseSink};
 use std::cell::{Cell, RefCell};
@@ -80,6 +80,11 @@
         self.clock.now()
     }
 
+    /// The current time for the log.
+    pub fn log_time(&self) -> LogTime {
+        self.clock.log_time()
+    }
+
     /// Converts a time on the load balancer's clock to an instant.
     pub fn instant(&self, at: Micros) -> Instant {
         self.clock.to_instant(at)
@@ -168,10 +173,23 @@
     }
 
     /// Applies an admin override to a server.
-    pub fn apply_admin_override(self: &Rc<Self>, server: ServerId, admin_override: AdminOverride) {
+    pub fn apply_admin_override(
+        self: &Rc<Self>,
+        server: ServerId,
+        admin_override: AdminOverride,
+        source: OverrideSource,
+    ) {
+        let change = match admin_override {
+            AdminOverride::Disabled => "disabled",
+            AdminOverride::EnabledAt(_) => "enabled",
+        };
+        let time = self.clock.log_time();
+        self.environment.log(format_args!(
+            "override: {server} {change} by {source}, {time}"
+        ));
         self.handle(match admin_override {
             AdminOverride::Disabled => Event::ServerDisabled { server },
-            AdminOverride::EnabledAt(at) => Event::ServerEnabled { server, at },
+            AdminOverride::EnabledAt(at) => Event::ServerEnabled { server, at, source },
         });
     }
 
@@ -207,6 +225,16 @@
         self.state.borrow().router.diagnostics()
     }
 
+    /// The number of listed servers that have their address.
+    pub fn listed_endpoints(&self) -> usize {
+        self.state.borrow().router.listed_endpoints()
+    }
+
+    /// The number of servers that are listed as ready at an address that another process has.
+    pub fn endpoints_without_address(&self) -> usize {
+        self.state.borrow().router.endpoints_without_address()
+    }
+
     /// The number of listed servers that are currently avoided.
     pub fn avoided_endpoints(&self) -> usize {
         self.state.borrow().router.avoided_endpoints()
@@ -298,7 +326,10 @@
             }
             Action::CloseIdle { server } => self.upstream.close_idle(&server),
             Action::Subscribe => self.subscription_wanted.notify_one(),
-            Action::Log(text) => self.environment.log(format_args!("{text}")),
+            Action::Log(text) => {
+                let time = self.clock.log_time();
+                self.environment.log(format_args!("{text}, {time}"));
+            }
         }
     }
 
--- a/crates/router-runtime/src/environment.rs
+++ b/crates/router-runtime/src/environment.rs
@@ -5,6 +5,7 @@
 //! [`crate::tokio_environment::TokioEnvironment`], with real sockets on tokio; in the simulation it
 //! is a virtual clock and network. Static dispatch avoids any cost in production.
 
+use load_balancer::WallTime;
 use std::fmt;
 use std::future::Future;
 use std::io;
@@ -28,9 +29,8 @@
     /// The monotonic clock. Its instants are comparable only within the same environment.
     fn now(&self) -> Instant;
 
-    /// The wall clock, as time since the Unix epoch. It may be stepped, so the runtime reads it
-    /// only once, at its start.
-    fn unix_now(&self) -> Duration;
+    /// The wall clock. It may be stepped, so no decision depends on it.
+    fn wall_now(&self) -> WallTime;
 
     /// Sleeps until this instant, or as soon after it as the timer resolution allows.
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()>;
--- a/crates/router-runtime/src/metrics.rs
+++ b/crates/router-runtime/src/metrics.rs
@@ -32,6 +32,12 @@
     pub endpoints_listed: usize,
     /// Listed cache servers that this router avoids now: disabled by an operator, or unresponsive.
     pub endpoints_avoided: usize,
+    /// Cache servers that are listed as ready at an address that another process has.
+    pub endpoints_without_address: usize,
+    /// Version of the endpoint list.
+    pub list_version: u64,
+    /// Calls to discovery.
+    pub discovery_calls: u64,
     /// Memory that is held for clients and cache servers.
     pub memory: MemoryReport,
 }
--- a/crates/router-runtime/src/runtime.rs
+++ b/crates/router-runtime/src/runtime.rs
@@ -16,7 +16,9 @@
 use crate::mutation::hooks;
 use crate::upstream::UpstreamPools;
 use config::RouterSetup;
-use load_balancer::{AdminOverride, Availability, ServerId, WarmState};
+use load_balancer::{
+    AdminOverride, Availability, Micros, OverrideSource, ServerId, WallTime, WarmState,
+};
 use process_lifecycle::{Lifecycle, LifecycleEvent};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -158,18 +160,21 @@
                 .iter()
                 .any(|(overridden, _)| *overridden == server);
         if is_known {
-            self.dispatcher.apply_admin_override(server, admin_override);
+            self.dispatcher
+                .apply_admin_override(server, admin_override, OverrideSource::Operator);
         }
         is_known
     }
 
-    /// Applies the admin overrides that another process of this router had.
+    /// Applies the admin overrides that another process of this router has or had.
     pub fn apply_admin_overrides(
         &self,
         overrides: impl IntoIterator<Item = (ServerId, AdminOverride)>,
+        source: OverrideSource,
     ) {
         for (server, admin_override) in hooks::admin_overrides(overrides) {
-            self.dispatcher.apply_admin_override(server, admin_override);
+            self.dispatcher
+                .apply_admin_override(server, admin_override, source);
         }
     }
 
@@ -178,6 +183,16 @@
         self.dispatcher.admin_overrides()
     }
 
+    /// The current time on the clock of this process.
+    pub fn now(&self) -> Micros {
+        self.dispatcher.now()
+    }
+
+    /// The current time on the wall clock.
+    pub fn wall_now(&self) -> WallTime {
+        self.environment.wall_now()
+    }
+
     /// Warm state of the decision library.
     pub fn warm_state(&self) -> WarmState {
         self.dispatcher.warm_state()
@@ -205,8 +220,11 @@
             requests_by_class: class_names.zip(metrics.requests_by_class()).collect(),
             attempts_written: metrics.attempts_written(),
             in_progress: metrics.in_progress(),
-            endpoints_listed: self.upstream.listed_count(),
+            endpoints_listed: self.dispatcher.listed_endpoints(),
             endpoints_avoided: self.dispatcher.avoided_endpoints(),
+            endpoints_without_address: self.dispatcher.endpoints_without_address(),
+            list_version: self.discovery.list_version(),
+            discovery_calls: metrics.attempts().discovery_calls,
             memory: self.memory.report(),
         }
     }
--- a/crates/router-runtime/src/tokio_environment.rs
+++ b/crates/router-runtime/src/tokio_environment.rs
@@ -1,6 +1,8 @@
 //! The environment in production: the system's clocks, tokio's timers and tasks, and real sockets.
 
+use crate::clock::to_micros;
 use crate::environment::{DatagramSocket, Environment, ReadStream, Stream};
+use load_balancer::WallTime;
 use rustix::event::{PollFd, PollFlags, Timespec};
 use std::fmt;
 use std::future::Future;
@@ -8,7 +10,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::task::{Context, Poll, Waker};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 use tokio::io::Interest;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
@@ -34,10 +36,9 @@
         Instant::now()
     }
 
-    fn unix_now(&self) -> Duration {
-        SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default()
+    fn wall_now(&self) -> WallTime {
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+        WallTime::from_unix_micros(to_micros(since_epoch.unwrap_or_default()).0)
     }
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
--- a/crates/router-runtime/src/upstream/connection.rs
+++ b/crates/router-runtime/src/upstream/connection.rs
@@ -7,7 +7,7 @@
 use crate::read_buffer::ReadBuffer;
 use crate::socket_error::{connect_with_retry, is_local_failure};
 use bytes::BytesMut;
-use load_balancer::{Outcome, ServerId};
+use load_balancer::{Outcome, ServerId, WallTime};
 use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
@@ -19,9 +19,8 @@
 pub(super) struct ServerProcess {
     /// Its address.
     pub addr: SocketAddr,
-    /// Start time in the endpoint list, in milliseconds since the Unix epoch. A different time
-    /// means a different process.
-    pub started_ms: u64,
+    /// Start time in the endpoint list. A different time means a different process.
+    pub started: WallTime,
 }
 
 /// A connection to a cache server.
--- a/crates/router-runtime/src/upstream/pool.rs
+++ b/crates/router-runtime/src/upstream/pool.rs
@@ -8,7 +8,7 @@
 use crate::mutation::hooks;
 use crate::read_buffer::ReadBuffer;
 use bytes::BytesMut;
-use load_balancer::{EndpointState, LoadReportFormat, ServerId};
+use load_balancer::{EndpointState, LoadReportFormat, ServerId, WallTime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -67,7 +67,7 @@
     /// after the list has named a new one.
     fn is_current(&self, connection: &Connection<E>) -> bool {
         let is_same_process =
-            hooks::is_same_process(self.process.started_ms == connection.process.started_ms);
+            hooks::is_same_process(self.process.started == connection.process.started);
         self.process.addr == connection.process.addr && is_same_process
     }
 }
@@ -139,14 +139,14 @@
         server: &ServerId,
         addr: SocketAddr,
         state: EndpointState,
-        started_ms: u64,
+        started: WallTime,
     ) {
         let mut pools = self.pools.borrow_mut();
         if state == EndpointState::Removed {
             pools.remove(server);
             return;
         }
-        let process = ServerProcess { addr, started_ms };
+        let process = ServerProcess { addr, started };
         let pool = pools
             .entry(server.clone())
             .or_insert_with(|| Pool::new(process));
--- a/crates/router-simulation/src/network/environment.rs
+++ b/crates/router-simulation/src/network/environment.rs
@@ -7,6 +7,7 @@
 use super::system_calls::SystemCall;
 use crate::UNIX_START;
 use crate::executor::{Node, Time};
+use load_balancer::WallTime;
 use router_runtime::environment::Environment;
 use std::fmt;
 use std::future::Future;
@@ -30,12 +31,12 @@
         self.network.epoch + Duration::from_micros(self.network.executor.now())
     }
 
-    fn unix_now(&self) -> Duration {
+    fn wall_now(&self) -> WallTime {
         let offset = self
             .network
             .with_machine(self.node, |machine| machine.clock_offset);
         let time = UNIX_START + self.network.executor.now();
-        Duration::from_micros(time.saturating_add_signed(offset))
+        WallTime::from_unix_micros(time.saturating_add_signed(offset))
     }
 
     fn sleep_until(&self, at: Instant) -> impl Future<Output = ()> {
--- a/crates/router-simulation/src/run/operators.rs
+++ b/crates/router-simulation/src/run/operators.rs
@@ -1,11 +1,10 @@
 //! Operators' actions in a run: disabling and enabling servers, draining and resuming routers.
 
 use super::Run;
-use super::routers::RouterProcess;
-use crate::UNIX_START;
+use super::routers::{RouterProcess, Runtime};
 use crate::executor::Time;
 use crate::fault_plan::{MILLI, OperatorAction, PlannedAction};
-use load_balancer::{AdminOverride, Micros, ServerId};
+use load_balancer::{AdminOverride, OverrideSource, ServerId};
 use std::rc::Rc;
 
 impl Run {
@@ -38,14 +37,9 @@
     /// when it starts.
     fn set_override(self: &Rc<Self>, server: usize, is_disabled: bool) {
         let id = ServerId::from(self.servers[server].name.as_str());
-        let admin_override = if is_disabled {
-            AdminOverride::Disabled
-        } else {
-            AdminOverride::EnabledAt(Micros(UNIX_START + self.now()))
-        };
         for router in &self.routers {
-            let mut overrides = router.admin_overrides.borrow_mut();
-            overrides.insert(id.clone(), admin_override);
+            let mut overrides = router.overrides.borrow_mut();
+            overrides.insert(id.clone(), is_disabled);
             drop(overrides);
             apply_override(router, &id, is_disabled);
             self.simulation
@@ -73,12 +67,31 @@
 fn apply_override(router: &RouterProcess, server: &ServerId, is_disabled: bool) {
     let runtime = router.runtime.borrow();
     let Some(runtime) = &*runtime else { return };
-    // A router that does not know the server yet rejects the command, and applies the override
-    // later.
-    let _ = if is_disabled {
+    let is_known = if is_disabled {
         runtime.disable_server(&server.0)
     } else {
         runtime.enable_server(&server.0)
     };
-    runtime.apply_admin_overrides(router.admin_overrides.borrow().clone());
+    // A router that does not know the server yet rejects the command, and applies the override
+    // later.
+    if !is_known {
+        let admin_override = admin_override(is_disabled, runtime);
+        let source = OverrideSource::OtherProcess;
+        runtime.apply_admin_overrides([(server.clone(), admin_override)], source);
+    }
+}
+
+/// Applies the overrides that the previous process of a router stored.
+pub(super) fn restore_overrides(router: &RouterProcess, runtime: &Runtime) {
+    let overrides = router.overrides.borrow().clone().into_iter();
+    let overrides =
+        overrides.map(|(server, is_disabled)| (server, admin_override(is_disabled, runtime)));
+    runtime.apply_admin_overrides(overrides, OverrideSource::StateFile);
+}
+
+fn admin_override(is_disabled: bool, runtime: &Runtime) -> AdminOverride {
+    match is_disabled {
+        true => AdminOverride::Disabled,
+        false => AdminOverride::EnabledAt(runtime.now()),
+    }
 }
--- a/crates/router-simulation/src/run/routers.rs
+++ b/crates/router-simulation/src/run/routers.rs
@@ -1,5 +1,6 @@
 //! Router processes of a run: start, SIGTERM, crash and restart.
 
+use super::operators::restore_overrides;
 use super::{Run, deployment_parameters};
 use crate::deployment::coalescing_rules;
 use crate::executor::{Node, Time};
@@ -9,7 +10,7 @@
 use crate::rng::SeededRng;
 use crate::simulation::{Simulation, Subnet, address};
 use load_balancer::deployment::Deployment;
-use load_balancer::{AdminOverride, ServerId, WeightKind, ZoneId};
+use load_balancer::{ServerId, WeightKind, ZoneId};
 use router_runtime::{EndpointList, RouterConfig, RouterRuntime};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -45,7 +46,8 @@
     /// The number of starts.
     incarnation: Cell<u64>,
     /// The operators' overrides, as the process's state file keeps them.
-    pub(super) admin_overrides: RefCell<BTreeMap<ServerId, AdminOverride>>,
+    /// True for a disabled server, false for one that was enabled again.
+    pub(super) overrides: RefCell<BTreeMap<ServerId, bool>>,
 }
 
 impl RouterProcess {
@@ -63,7 +65,7 @@
             runtime: RefCell::new(None),
             stop: RefCell::default(),
             incarnation: Cell::new(0),
-            admin_overrides: RefCell::default(),
+            overrides: RefCell::default(),
         }
     }
 
@@ -111,7 +113,7 @@
                 return;
             }
         };
-        runtime.apply_admin_overrides(router.admin_overrides.borrow().clone());
+        restore_overrides(router, &runtime);
         *router.runtime.borrow_mut() = Some(runtime.clone());
         self.spawn_router(router, runtime);
     }
--- a/crates/router-simulation/tests/coalescing_scenarios.rs
+++ b/crates/router-simulation/tests/coalescing_scenarios.rs
@@ -435,8 +435,9 @@
         ),
         (0, 1)
     );
-    let next = start_crowd(&scenario, 3 * SECOND, 7, SECOND);
-    scenario.run_until(5 * SECOND);
+    scenario.run_until(3 * SECOND);
+    let next = start_crowd(&scenario, 4 * SECOND, 7, SECOND);
+    scenario.run_until(6 * SECOND);
     assert_eq!(
         (
             scenario.received_requests(owner).len(),
--- a/crates/simulator-adapter/src/session.rs
+++ b/crates/simulator-adapter/src/session.rs
@@ -121,7 +121,7 @@
                     let item_count = wire::item_count(&line)?;
                     let event = wire::event(&mut line, &instance.names, &instance.reports)?;
                     if let Some(mut event) = event {
-                        read_items(input, item_count, &instance.names, &mut event)?;
+                        read_items(input, item_count, &instance.names, now, &mut event)?;
                         self.handle(now, router, event)?;
                     }
                 }
@@ -207,11 +207,12 @@
     input: &mut Input<R>,
     count: u64,
     names: &Names,
+    now: Micros,
     event: &mut Event,
 ) -> Result<(), SessionError> {
     for _ in 0..count {
         let mut line = input.require_line("list")?;
-        let endpoint = wire::endpoint(&mut line, names)?;
+        let endpoint = wire::endpoint(&mut line, names, now)?;
         if let Event::EndpointsChanged { endpoints, .. } = event {
             endpoints.push(endpoint);
         }
--- a/crates/simulator-adapter/src/wire.rs
+++ b/crates/simulator-adapter/src/wire.rs
@@ -6,8 +6,8 @@
 use load_balancer::deployment::Names;
 use load_balancer::{
     Action, AttemptEnd, AttemptNumber, CacheStatus, CellId, ClassId, Endpoint, EndpointState,
-    EndpointUpdate, Event, LoadReportFormat, MachineKindId, Micros, Outcome, Request, ServerId,
-    TenantId, ZoneId,
+    EndpointUpdate, Event, LoadReportFormat, MachineKindId, Micros, Outcome, ProcessAge, Request,
+    ServerId, TenantId, WallTime, ZoneId,
 };
 use std::io::{self, Write};
 
@@ -155,8 +155,9 @@
     })
 }
 
-/// Reads an `item` line: an entry of the endpoint list.
-pub fn endpoint(line: &mut Line<'_>, names: &Names) -> Result<Endpoint, WireError> {
+/// Reads an `item` line: an entry of the endpoint list, received at `now`. All times of the simulator
+/// are on one clock.
+pub fn endpoint(line: &mut Line<'_>, names: &Names, now: Micros) -> Result<Endpoint, WireError> {
     if line.name() != "item" {
         return Err(WireError::UnexpectedLine {
             expected: "item",
@@ -171,6 +172,10 @@
         .name_index("class_of_host", &names.kinds)?
         .map(MachineKindId);
     let started = line.optional_time("start_time")?.unwrap_or_default();
+    let age = match started {
+        Micros(0) => ProcessAge::Old,
+        started => ProcessAge::Known(now.since(started)),
+    };
     let weight = line.optional("weight", "a number")?;
     Ok(Endpoint {
         server,
@@ -178,7 +183,9 @@
         zone,
         cell,
         kind,
-        started,
+        address: None,
+        started: WallTime::from_unix_micros(started.0),
+        age,
         weight: weight.unwrap_or(DEFAULT_WEIGHT),
     })
 }
