Decide who has an address by the order of what was told, and keep every entry

Cause: router-runtime/discovery/address_owner.rs gave an address to the entry with the latest born_ms, the wall clock of another machine, and turned the others into removals, which the kept list lost too. Network code decided. All entries stay listed and are handed over.

--- a/crates/router-runtime/src/discovery.rs
+++ b/crates/router-runtime/src/discovery.rs
@@ -11,7 +11,6 @@
 //!
 //! All state belongs to one thread; no `RefCell` borrow is held across an await.
 
-mod address_owner;
 mod endpoint_table;
 mod error;
 mod list_log;
--- a/crates/router-runtime/src/discovery/endpoint_table.rs
+++ b/crates/router-runtime/src/discovery/endpoint_table.rs
@@ -2,7 +2,6 @@
 //! and to the decision library, and the whole list is kept to be handed to a successor process. The
 //! decision library keeps its own state of the servers in its `ServerTable`.
 
-use super::address_owner::{owners_of_snapshot, with_removed_owners};
 use super::list_log;
 use crate::dispatcher::Dispatcher;
 use crate::endpoint_list::{EndpointList, Health, ListedEndpoint};
@@ -99,10 +98,7 @@
         if update != EndpointUpdate::Restored {
             self.log_update(&list, update);
         }
-        let entries = match update.is_whole_list() {
-            true => owners_of_snapshot(list.entries),
-            false => with_removed_owners(list.entries, &self.entries.borrow()),
-        };
+        let entries = list.entries;
         self.store_list(update.is_whole_list(), &entries);
         let table = self.clone();
         let entries = hooks::listed_endpoints(&self.environment, update, entries, move |delayed| {
@@ -187,7 +183,7 @@
             zone: position(&self.names.zones, entry.zone.as_ref()).map(ZoneId),
             cell: CellId(entry.cell),
             kind: position(&self.names.kinds, entry.kind.as_ref()).map(MachineKindId),
-            address: None,
+            address: Some(entry.addr),
             started: WallTime::from_unix_millis(entry.started_ms),
             age: match entry.started_ms {
                 0 => ProcessAge::Old,
