Keep the address of an excluded server over a kill

Callers saw: work on an excluded server for as long as discovery did not answer, where the process was killed and the next one started with an older list that names another server at its address. Cause: the exclude was stored by name alone, and the list that told its address was lost with the process. Change: the state file holds the entries of excluded servers, in the field for a list, under an address that is no discovery server, so that older versions ignore it. They join the configuration's list at the start, unless that is empty, and discovery is then asked for its whole list: the rule for addresses does the rest, and an entry that discovery does not know any more leaves with its first list.

--- a/crates/cache-router/src/admin_state.rs
+++ b/crates/cache-router/src/admin_state.rs
@@ -103,6 +103,7 @@
         let Some(store) = &self.store else { return };
         let state = HandoverState {
             overrides: stored_state::stored_overrides(&self.runtime),
+            endpoint_list: stored_state::stored_disabled_endpoints(&self.runtime),
             ..HandoverState::default()
         };
         let saved = store.save(state);
--- a/crates/cache-router/src/process.rs
+++ b/crates/cache-router/src/process.rs
@@ -172,7 +172,8 @@
                 (None, state, OverrideSource::StateFile)
             }
         };
-        let endpoints = initial_endpoints(&mut configuration, state.endpoint_list.take());
+        let endpoints =
+            stored_state::initial_endpoints(&mut configuration, state.endpoint_list.take());
         let endpoint_count = endpoints.endpoint_count();
         let runtime = build_runtime(&configuration, settings.runtime_settings, endpoints)?;
         stored_state::restore(&runtime, state, source);
@@ -293,20 +294,6 @@
     }
 }
 
-/// Returns the endpoints to start with: the predecessor's if they come from the same discovery
-/// address, otherwise those of the configuration.
-fn initial_endpoints(
-    configuration: &mut Configuration,
-    inherited: Option<(SocketAddr, Vec<u8>)>,
-) -> EndpointList {
-    let inherited = inherited
-        .filter(|(discovery, _)| *discovery == configuration.discovery)
-        .and_then(|(_, json)| serde_json::from_slice(&json).ok());
-    inherited
-        .or_else(|| configuration.initial_endpoints.take())
-        .unwrap_or_default()
-}
-
 fn build_runtime(
     configuration: &Configuration,
     settings: RuntimeSettings,
--- a/crates/cache-router/src/stored_state.rs
+++ b/crates/cache-router/src/stored_state.rs
@@ -5,8 +5,11 @@
 //! the ages that follow. Of a state without that time the ages are unknown, and each counts as zero.
 
 use crate::Runtime;
+use crate::configuration::Configuration;
 use hot_restart::message::{HandoverState, StoredOverride};
 use load_balancer::{AdminOverride, Micros, OverrideSource, ServerId, WarmState};
+use router_runtime::EndpointList;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// The clock of this process and the one of stored times, read at one moment.
 #[derive(Clone, Copy, Debug)]
@@ -41,6 +44,48 @@
         .collect()
 }
 
+/// Stands for the discovery server of a list that holds the entries of disabled servers alone. Processes that
+/// know of whole lists only ignore a list of another discovery server than theirs.
+const DISABLED_ENDPOINTS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+
+/// The entries of disabled servers, so that a later process uses their addresses under no other name.
+pub fn stored_disabled_endpoints(runtime: &Runtime) -> Option<(SocketAddr, Vec<u8>)> {
+    let overrides = runtime.admin_overrides();
+    let is_disabled = |name: &str| {
+        let mut overrides = overrides.iter();
+        overrides.any(|(server, admin_override)| {
+            &*server.0 == name && *admin_override == AdminOverride::Disabled
+        })
+    };
+    let endpoints = runtime.endpoint_list().endpoints.filtered(is_disabled);
+    let json = serde_json::to_vec(&endpoints).ok()?;
+    (endpoints.endpoint_count() > 0).then_some((DISABLED_ENDPOINTS, json))
+}
+
+/// The endpoints to start with: the predecessor's if they come from the same discovery server, otherwise those of
+/// the configuration, with the entries of disabled servers that the last process knew.
+pub fn initial_endpoints(
+    configuration: &mut Configuration,
+    stored: Option<(SocketAddr, Vec<u8>)>,
+) -> EndpointList {
+    let stored = stored.and_then(|(discovery, json)| {
+        let endpoints = serde_json::from_slice::<EndpointList>(&json).ok()?;
+        Some((discovery, endpoints))
+    });
+    match stored {
+        Some((discovery, endpoints)) if discovery == configuration.discovery => endpoints,
+        Some((DISABLED_ENDPOINTS, disabled)) => {
+            let mut endpoints = configuration.initial_endpoints.take().unwrap_or_default();
+            // Without other servers the process must not seem to know any.
+            if endpoints.endpoint_count() > 0 {
+                endpoints.add_missing(disabled);
+            }
+            endpoints
+        }
+        _ => configuration.initial_endpoints.take().unwrap_or_default(),
+    }
+}
+
 /// The warm state in stored form, followed by the time at which it was taken. Processes that do not know of
 /// this time ignore it.
 pub fn stored_warm_state(runtime: &Runtime) -> Vec<u8> {
--- a/crates/cache-router/tests/reused_addresses.rs
+++ b/crates/cache-router/tests/reused_addresses.rs
@@ -182,3 +182,37 @@
         assert!(served > 0, "{old_start_offset_ms} ms: no read");
     }
 }
+
+/// Guards against work for an excluded process under the name of another one, which a later process finds at
+/// its address on an older list.
+#[test]
+fn an_excluded_process_gets_nothing_under_another_name_after_a_kill() {
+    let platform = Platform::new();
+    let (excluded, other) = (CacheServer::start("s-new"), CacheServer::start("s-other"));
+    let discovery = Discovery::start(endpoint_list(7, false, &[]));
+    let known = [excluded.entry("up"), other.entry("up")];
+    let mut config = configuration(discovery.addr, &known);
+    let admin = unused_addr();
+    config["admin"] = admin.to_string().into();
+    let mut first = platform.start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let exclude = http_request(admin, "POST", "/api/exclude", r#"{"host":"s-new"}"#);
+    assert_eq!(exclude.status, 200);
+    first.kill();
+    first.wait();
+    discovery.set_failing(true);
+    let older = [
+        endpoint_entry("s-old", excluded.addr, "up"),
+        other.entry("up"),
+    ];
+    let older = endpoint_list(6, true, &older);
+    config["known"] = serde_json::from_str(&older).expect("malformed endpoint list");
+    let second = platform.start(&config);
+    let before = excluded.commands().len();
+    let mut client = second.client();
+    for number in 0..40 {
+        client.request("read", &format!("{number:016x}"));
+    }
+    assert_eq!(excluded.commands().len(), before);
+    assert!(!other.commands().is_empty());
+}
--- a/crates/cache-router/tests/stepped_clocks.rs
+++ b/crates/cache-router/tests/stepped_clocks.rs
@@ -83,3 +83,50 @@
         assert!(reads < READ_COUNT / 6, "{offset_ms} ms: {reads} reads");
     }
 }
+
+/// How many reads of a successor reach a server that the previous process was told of `age_ms` before, of
+/// [`READ_COUNT`] over two servers, where slow start takes 2 s. The clock is stepped by `offset_ms` just before
+/// the successor starts.
+fn reads_of_a_successor(age_ms: u64, offset_ms: i64) -> usize {
+    let platform = Platform::with_stepped_clock();
+    let (restarted, warm) = (CacheServer::start("s-a"), CacheServer::start("s-b"));
+    let discovery = Discovery::start(endpoint_list(7, false, &[]));
+    let known = [restarted.entry("up"), warm.entry("up")];
+    let mut config = configuration(discovery.addr, &known);
+    config["settings"]["invariants"]["cold"] = 2.0.into();
+    config["settings"]["invariants"]["cold_from"] = 0.05.into();
+    let first = platform.start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    let delta = endpoint_list(8, false, &[entry_of_age(&restarted, 0)]);
+    discovery.write_to_watch(&delta);
+    std::thread::sleep(std::time::Duration::from_millis(age_ms));
+    platform.set_clock_offset_ms(offset_ms);
+    let second = platform.start(&config);
+    wait_until("the successor serves", || {
+        first.log_contains("stopped") || !second.log.lock().unwrap().is_empty()
+    });
+    first.terminate();
+    std::thread::sleep(std::time::Duration::from_millis(100));
+    let mut client = second.client();
+    for number in 0..READ_COUNT {
+        client.request("read", &format!("{number:016x}"));
+    }
+    restarted.commands().len()
+}
+
+/// Guards against ages that a replacement changes, since it is told times of a clock that is stepped.
+#[test]
+fn a_replacement_keeps_the_ages_of_servers_whatever_the_clock_says() {
+    for offset_ms in [0, HOUR_MS, -HOUR_MS] {
+        let cold = reads_of_a_successor(100, offset_ms);
+        assert!(
+            cold < READ_COUNT / 5,
+            "{offset_ms} ms: {cold} reads while cold"
+        );
+        let warm = reads_of_a_successor(2_200, offset_ms);
+        assert!(
+            warm > READ_COUNT / 4,
+            "{offset_ms} ms: {warm} reads once warm"
+        );
+    }
+}
--- a/crates/router-runtime/src/endpoint_list.rs
+++ b/crates/router-runtime/src/endpoint_list.rs
@@ -26,6 +26,27 @@
 }
 
 impl EndpointList {
+    /// The list without the entries for whose server `keeps` is false.
+    pub fn filtered(mut self, keeps: impl Fn(&str) -> bool) -> EndpointList {
+        self.entries.retain(|entry| keeps(&entry.name));
+        self
+    }
+
+    /// Adds the entries of another list for servers that this one does not contain. If there are any, the list
+    /// has no version of its discovery server any more, so that this is asked for its whole list.
+    pub fn add_missing(&mut self, other: EndpointList) {
+        let is_listed = |name: &str| self.entries.iter().any(|entry| entry.name == name);
+        let missing: Vec<ListedEndpoint> = other
+            .entries
+            .into_iter()
+            .filter(|entry| !is_listed(&entry.name))
+            .collect();
+        if !missing.is_empty() {
+            self.version = 0;
+            self.entries.extend(missing);
+        }
+    }
+
     /// Number of entries.
     pub fn endpoint_count(&self) -> usize {
         self.entries.len()
