Mutation of a missed restart: a change that tells it names no start

The mutation replaced each start with 1 ms after the epoch, which counted as long ago by the router's wall clock.

--- a/crates/router-runtime/src/mutation.rs
+++ b/crates/router-runtime/src/mutation.rs
@@ -46,7 +46,7 @@
     KeepsRemoved,
     /// All servers count as started long ago, so that slow start is skipped.
     SkipsSlowStart,
-    /// A restarted server is not recognized as a new process.
+    /// A restarted server that a change of the list names is not recognized as a new process.
     MissesRestart,
     /// Timers that have fired are set again, one hour later.
     LeaksTimers,
--- a/crates/router-runtime/src/mutation/hooks.rs
+++ b/crates/router-runtime/src/mutation/hooks.rs
@@ -152,8 +152,8 @@
         if is_active(Mutation::SkipsSlowStart) {
             entry.started_ms = 0;
         }
-        if is_active(Mutation::MissesRestart) {
-            entry.started_ms = entry.started_ms.min(1);
+        if is_active(Mutation::MissesRestart) && update == EndpointUpdate::Delta {
+            entry.started_ms = 0;
         }
     }
     entries
