Tell a new process the overrides that are set while its state is on the way

Callers saw: an exclude that a replacement takes back. What an operator sets between the moment in which the old process takes its state and the one in which that is written whole was in neither the state nor the changes after it. Cause: hand_over.rs subscribed to the changes only once the state was sent; the send waits where the list is longer than the socket's buffer or the new process reads late. Found by reading; not seen in an operator's run. Change: the subscription begins when the state is taken, with no wait in between.

--- a/crates/cache-router/src/hand_over.rs
+++ b/crates/cache-router/src/hand_over.rs
@@ -41,6 +41,13 @@
     pub shared_memory: Rc<SharedMemory>,
 }
 
+/// A new process that has been sent the state.
+struct Successor {
+    channel: HandoverChannel,
+    /// The changes that operators have made since the state was taken.
+    changes: mpsc::UnboundedReceiver<Message>,
+}
+
 /// How a hand-over to a successor process ended.
 enum SuccessorOutcome {
     /// The runtime of this process has ended, and all connections have been handed over.
@@ -69,7 +76,7 @@
                 }
             };
             let successor = self.accept(bound).await;
-            match self.serve_successor(&successor).await {
+            match self.serve_successor(successor).await {
                 SuccessorOutcome::HandedOver => return,
                 // The lost process may have been replaced itself before it ended. New processes have
                 // to reach the one that serves.
@@ -81,7 +88,7 @@
     }
 
     /// Accepts the next new process of this router and sends it the state.
-    async fn accept(&self, listener: &UnixListener) -> HandoverChannel {
+    async fn accept(&self, listener: &UnixListener) -> Successor {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 sleep(ACCEPT_RETRY_DELAY).await;
@@ -89,7 +96,7 @@
             };
             let channel = HandoverChannel::new(stream);
             match timeout(HELLO_TIMEOUT, self.send_state(&channel)).await {
-                Ok(Ok(())) => return channel,
+                Ok(Ok(changes)) => return Successor { channel, changes },
                 Ok(Err(error)) => {
                     eprintln!("asterport: state not sent to a new process: {error}");
                 }
@@ -100,7 +107,12 @@
         }
     }
 
-    async fn send_state(&self, channel: &HandoverChannel) -> Result<(), ChannelError> {
+    /// Sends the state. Returns the changes that operators make from then on, those made while it is on its
+    /// way included.
+    async fn send_state(
+        &self,
+        channel: &HandoverChannel,
+    ) -> Result<mpsc::UnboundedReceiver<Message>, ChannelError> {
         let (hello, _) = channel.receive().await?;
         hello.check_hello(&self.router)?;
         let message = Message::State {
@@ -108,7 +120,9 @@
             name: self.router.clone(),
             state: self.state(),
         };
-        channel.send(&message, None).await
+        let changes = self.admin_state.subscribe();
+        channel.send(&message, None).await?;
+        Ok(changes)
     }
 
     fn state(&self) -> HandoverState {
@@ -124,15 +138,18 @@
 
     /// Sends operators' changes to a new process and, once it serves, the connections that become
     /// idle, until either that process or the runtime of this one ends.
-    async fn serve_successor(&self, channel: &HandoverChannel) -> SuccessorOutcome {
+    async fn serve_successor(&self, successor: Successor) -> SuccessorOutcome {
+        let Successor {
+            channel,
+            mut changes,
+        } = successor;
         self.runtime.share_connection_slots(true);
         let _peer = self.shared_memory.add_peer();
-        let mut changes = self.admin_state.subscribe();
         let (sender, mut idle_connections) = mpsc::unbounded_channel::<ClientConnection>();
         let mut sender = Some(sender);
         // A connection whose hand-over failed, which this process continues to serve.
         let mut returned = None;
-        let mut receiver = MessageReceiver::new(channel);
+        let mut receiver = MessageReceiver::new(&channel);
         let error = loop {
             let result = tokio::select! {
                 biased;
@@ -141,7 +158,7 @@
                     let Some(connection) = connection else {
                         return SuccessorOutcome::HandedOver;
                     };
-                    let result = send_connection(channel, &connection).await;
+                    let result = send_connection(&channel, &connection).await;
                     returned = result.is_err().then_some(connection);
                     result
                 }
--- a/crates/cache-router/tests/process_replacement.rs
+++ b/crates/cache-router/tests/process_replacement.rs
@@ -1,6 +1,8 @@
 //! Replacement of a router process by another one, on a listening socket that the platform holds.
 //! Runs the router binary against fake peers on loopback sockets.
 
+use hot_restart::message::{Message, VERSION};
+use hot_restart::rendezvous::RendezvousSocket;
 use test_support::*;
 
 /// Starts a cache server and a discovery service, and returns them with the configuration of a
@@ -388,3 +390,44 @@
     client.write(&encode_command(&["PING"]));
     assert_eq!(client.read_reply().as_deref(), Some("-ERR drained\r\n"));
 }
+
+/// Number of listed servers of which the state is longer than a socket buffers.
+const LONG_LIST_SERVERS: usize = 8_000;
+
+/// Guards against an override that the new process never hears of, since an operator set it while the state was
+/// on its way.
+#[tokio::test]
+async fn an_override_that_is_set_while_the_state_is_sent_reaches_the_new_process() {
+    let (server, _discovery, mut config) = start_fleet();
+    let mut known = vec![server.entry("up")];
+    known.extend((0..LONG_LIST_SERVERS).map(|number| {
+        let addr = std::net::SocketAddr::from(([127, 9, 0, 1], 1_000 + number as u16));
+        endpoint_entry(&format!("s-{number}"), addr, "draining")
+    }));
+    let known = endpoint_list(7, true, &known);
+    config["known"] = serde_json::from_str(&known).expect("malformed endpoint list");
+    let platform = Platform::new();
+    let (config, admin) = with_admin_address(&config);
+    let _router = platform.start(&config);
+    wait_until("the process is ready", || is_ready(admin));
+    let socket = RendezvousSocket::new(&platform.directory, "n1");
+    let channel = socket.connect().await.expect("no rendezvous socket");
+    let hello = Message::Hello {
+        version: VERSION,
+        name: "n1".into(),
+    };
+    channel.send(&hello, None).await.expect("failed to send");
+    tokio::time::sleep(std::time::Duration::from_millis(300)).await;
+    let exclude = http_request(admin, "POST", "/api/exclude", r#"{"host":"s-a"}"#);
+    assert_eq!(exclude.status, 200);
+    let (state, _) = channel.receive().await.expect("failed to receive");
+    let state = state.into_state("n1").expect("no state");
+    let is_known = !state.overrides.is_empty();
+    let is_told = async {
+        let next = channel.receive();
+        tokio::time::timeout(std::time::Duration::from_secs(1), next)
+            .await
+            .is_ok()
+    };
+    assert!(is_known || is_told.await, "the override is lost");
+}
