Simulation: stepped clocks on servers; what counts as told follows its order

The clock-steps fault moves the wall clocks of some servers, against those of the routers, and a server's start on the list is a time of its own machine's clock. The checker took an announcement for news if its born_ms was not the smaller one, the mistake of the incident; now it asks whether a later one was made.

--- a/crates/router-simulation/src/invariant_checker/drains.rs
+++ b/crates/router-simulation/src/invariant_checker/drains.rs
@@ -178,14 +178,15 @@
 
     fn deem_known(&mut self, deemed_known_at: Time, pending: &PendingAnnouncement) {
         let announcement = pending.announcement;
-        let is_latest = self.latest.get(&pending.server) == Some(&announcement);
+        // Of a later announcement the router may know more.
+        if self.latest.get(&pending.server) != Some(&announcement) {
+            return;
+        }
         let routers: BTreeSet<usize> = self.knowledge.keys().map(|pair| pair.0).collect();
         let is_addressed = |router: &usize| pending.router.is_none_or(|only| only == *router);
         for router in routers.into_iter().filter(is_addressed) {
             let known = self.known(router, pending.server, announcement.born_ms);
-            // Knowledge of a later announcement stays.
-            let is_news = known.born_ms <= announcement.born_ms && is_latest;
-            if is_news && !announcement.is_up {
+            if !announcement.is_up {
                 known.unavailable_since.get_or_insert(deemed_known_at);
             }
         }
--- a/crates/router-simulation/src/run.rs
+++ b/crates/router-simulation/src/run.rs
@@ -20,7 +20,8 @@
 };
 use crate::rng::SeededRng;
 use crate::simulation::{Simulation, Subnet, address};
-use crate::{UNIX_START, wire};
+use crate::wire;
+use router_runtime::environment::Environment;
 use routers::RouterProcess;
 use std::rc::Rc;
 
@@ -253,8 +254,10 @@
     /// Starts a server's process. The list shows it after the announcement delay of the plan and
     /// `extra_delay`.
     fn start_server(self: &Rc<Self>, server: usize, extra_delay: Time) {
-        let born_ms = (UNIX_START + self.now()) / 1_000;
-        self.simulation.network.restore(self.servers[server].node);
+        let node = self.servers[server].node;
+        let clock = self.simulation.network.environment(node).wall_now();
+        let born_ms = clock.unix_micros() / 1_000;
+        self.simulation.network.restore(node);
         self.servers[server].start(born_ms);
         self.announce(server, Health::Up, born_ms, extra_delay);
     }
--- a/crates/router-simulation/src/run/faults.rs
+++ b/crates/router-simulation/src/run/faults.rs
@@ -2,7 +2,7 @@
 
 use super::Run;
 use crate::discovery::Health;
-use crate::executor::Time;
+use crate::executor::{Node, Time};
 use crate::fault_plan::{Fault, FaultKind, MILLI, SECOND};
 use crate::fleet::{Server, ServerFaults};
 use std::rc::Rc;
@@ -185,17 +185,25 @@
         });
     }
 
+    /// Steps the wall clocks of routers, and those of some servers in the other direction.
     fn step_clocks(self: &Rc<Self>, fault: &Fault) {
         let offset = ((fault.severity - 0.5) * CLOCK_STEP_RANGE) as i64;
         for &router in &fault.targets {
-            let node = self.routers[router].node;
-            self.simulation.network.set_clock(node, offset);
-            self.after(fault.duration, move |run| {
-                run.simulation.network.set_clock(node, 0);
-            });
+            self.step_clock(self.routers[router].node, offset, fault.duration);
+            for server in self.servers.iter().skip(router).step_by(self.routers.len()) {
+                self.step_clock(server.node, -offset, fault.duration);
+            }
         }
     }
 
+    /// Steps the wall clock of a machine, and steps it back at the end of `duration`.
+    fn step_clock(self: &Rc<Self>, node: Node, offset: i64, duration: Time) {
+        self.simulation.network.set_clock(node, offset);
+        self.after(duration, move |run| {
+            run.simulation.network.set_clock(node, 0);
+        });
+    }
+
     fn reset_idle_connections(self: &Rc<Self>, fault: &Fault) {
         for index in 0..IDLE_RESET_COUNT {
             let targets = fault.targets.clone();
