Tell a successor which addresses are not used, and who superseded whom

Callers saw: work on a server that had left the list, from the process that replaced the router, under the name of an entry that was still listed at its address. Cause: the successor was told the list alone. Neither the order in which its entries were told nor the time for which an address is left alone can be seen there. Change: what follows the warm state holds the claims to addresses with several processes, and for how long addresses are not used, as spans.

--- a/crates/cache-router/src/stored_state.rs
+++ b/crates/cache-router/src/stored_state.rs
@@ -7,8 +7,9 @@
 use crate::Runtime;
 use crate::configuration::Configuration;
 use hot_restart::message::{HandoverState, StoredOverride};
-use load_balancer::{AdminOverride, Micros, OverrideSource, ServerId, WarmState};
+use load_balancer::{AddressClaims, AdminOverride, Micros, OverrideSource, ServerId, WarmState};
 use router_runtime::EndpointList;
+use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
 /// The clock of this process and the one of stored times, read at one moment.
@@ -86,14 +87,26 @@
     }
 }
 
-/// The warm state in stored form, followed by the time at which it was taken. Processes that do not know of
-/// this time ignore it.
+/// What follows the warm state in its stored form. Processes that do not know of it ignore it. Stored by
+/// position: the order and types of fields are fixed.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredSupplement {
+    /// When the state was taken, on the clock of stored times.
+    taken_at: u64,
+    address_claims: AddressClaims,
+}
+
+/// The warm state in stored form, with its supplement.
 pub fn stored_warm_state(runtime: &Runtime) -> Vec<u8> {
     let clock = StoredClock::read(runtime);
     let warm_state = runtime.warm_state();
     let warm_state = warm_state.moved_to_clock(clock.own.0, clock.stored);
     let mut bytes = postcard::to_stdvec(&warm_state).unwrap_or_default();
-    bytes.extend(postcard::to_stdvec(&clock.stored).unwrap_or_default());
+    let supplement = StoredSupplement {
+        taken_at: clock.stored,
+        address_claims: runtime.address_claims(),
+    };
+    bytes.extend(postcard::to_stdvec(&supplement).unwrap_or_default());
     bytes
 }
 
@@ -102,9 +115,10 @@
 pub fn restore(runtime: &Runtime, state: HandoverState, source: OverrideSource) {
     // A warm state that cannot be decoded is ignored: the router starts without it.
     let warm_state = postcard::take_from_bytes::<WarmState>(&state.warm_state).ok();
-    let taken_at = warm_state
+    let supplement = warm_state
         .as_ref()
-        .and_then(|(_, rest)| postcard::from_bytes::<u64>(rest).ok());
+        .and_then(|(_, rest)| postcard::from_bytes::<StoredSupplement>(rest).ok());
+    let taken_at = supplement.as_ref().map(|supplement| supplement.taken_at);
     let now = runtime.now();
     let overrides = state.overrides.into_iter().map(|(server, stored)| {
         let server = ServerId::from(server.as_str());
@@ -117,6 +131,9 @@
             None => warm_state.without_ages(now),
         });
     }
+    if let Some(supplement) = supplement {
+        runtime.restore_address_claims(supplement.address_claims);
+    }
     if state.drained {
         runtime.drain_router();
     }
--- a/crates/cache-router/tests/reused_addresses.rs
+++ b/crates/cache-router/tests/reused_addresses.rs
@@ -183,6 +183,39 @@
     }
 }
 
+/// Guards against work for a process that has left the list, under the name of an entry that the successor of the
+/// router finds at its address.
+#[test]
+fn a_successor_leaves_the_address_of_a_process_that_has_just_left_alone() {
+    let platform = Platform::new();
+    let (left, other) = (CacheServer::start("s-new"), CacheServer::start("s-other"));
+    let discovery = Discovery::start(endpoint_list(7, false, &[]));
+    let known = [endpoint_entry("s-old", left.addr, "up"), other.entry("up")];
+    let mut config = configuration(discovery.addr, &known);
+    let admin = unused_addr();
+    config["admin"] = admin.to_string().into();
+    let first = platform.start(&config);
+    wait_until("the router watches", || !discovery.calls().is_empty());
+    for (version, health) in [(8, "up"), (9, "removed")] {
+        let told = endpoint_list(version, false, &[left.entry(health)]);
+        discovery.write_to_watch(&told);
+        sleep(Duration::from_millis(50));
+    }
+    config["admin"] = unused_addr().to_string().into();
+    let second = platform.start(&config);
+    wait_until("the successor is ready", || {
+        http_request(admin, "GET", "/api/ready", "").status == 503
+    });
+    first.terminate();
+    let before = left.commands().len();
+    let mut client = second.client();
+    for number in 0..40 {
+        client.request("read", &format!("{number:016x}"));
+    }
+    assert_eq!(left.commands().len(), before);
+    assert!(!other.commands().is_empty());
+}
+
 /// Guards against work for an excluded process under the name of another one, which a later process finds at
 /// its address on an older list.
 #[test]
--- a/crates/cache-router/tests/warm_state_format.rs
+++ b/crates/cache-router/tests/warm_state_format.rs
@@ -137,3 +137,25 @@
         );
     }
 }
+
+/// Guards against processes of an earlier version that reject a warm state, which they read with
+/// [`postcard::from_bytes`], for the time that follows it.
+#[test]
+fn the_time_after_a_warm_state_does_not_disturb_earlier_versions() {
+    let mut bytes = golden_bytes();
+    let expected: WarmState = postcard::from_bytes(&bytes).expect("failed to decode");
+    let taken_at = postcard::to_stdvec(&1_700_000_000_000_000_u64).expect("failed to encode");
+    bytes.extend(taken_at);
+    let read: WarmState = postcard::from_bytes(&bytes).expect("failed to decode");
+    assert_eq!(read, expected);
+}
+
+#[test]
+fn ages_stay_the_same_on_another_clock() {
+    let bytes = golden_bytes();
+    let warm_state: WarmState = postcard::from_bytes(&bytes).expect("failed to decode");
+    let wall = 1_700_000_000_000_000;
+    let stored = warm_state.clone().moved_to_clock(GOLDEN_CLOCK.0, wall);
+    assert_ne!(stored, warm_state);
+    assert_eq!(stored.moved_to_clock(wall, GOLDEN_CLOCK.0), warm_state);
+}
--- a/crates/load-balancer/src/address_ownership.rs
+++ b/crates/load-balancer/src/address_ownership.rs
@@ -15,6 +15,7 @@
 use crate::endpoint::{Endpoint, EndpointState};
 use crate::server_table::{Server, ServerTable};
 use crate::time::{Micros, WallTime};
+use serde::{Deserialize, Serialize};
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -23,6 +24,9 @@
 /// longest deadline is 3 s, and the list may be 6 s late.
 pub(crate) const ADDRESS_HOLD: Micros = Micros::from_millis(10_000);
 
+/// Maximum number of restored claims, larger than any fleet.
+const MAX_STORED_CLAIMS: usize = 8_192;
+
 /// The claim of a listed process to its address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct AddressClaim {
@@ -47,6 +51,23 @@
     }
 }
 
+/// The claims to addresses that several processes have, for the successor of this process. Stored by position:
+/// the order and types of fields are fixed.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AddressClaims {
+    claims: Vec<StoredClaim>,
+    /// Addresses that are not used, and for how long, in microseconds.
+    holds: Vec<(SocketAddr, u64)>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+struct StoredClaim {
+    server: String,
+    address: SocketAddr,
+    told_in: u64,
+    is_superseded: bool,
+}
+
 /// What was listed under a name before an update.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PreviousClaim {
@@ -149,6 +170,55 @@
         changes
     }
 
+    /// The claims to addresses at which several processes are listed, and to those that are not used.
+    pub fn claims(&self, servers: &ServerTable, now: Micros) -> AddressClaims {
+        let mut listed = listed_by_address(servers);
+        listed.sort_unstable();
+        let claims = listed
+            .chunk_by(|one, other| one.0 == other.0)
+            .filter(|claimants| {
+                claimants.len() > 1 || self.held_until.contains_key(&claimants[0].0)
+            })
+            .flatten()
+            .map(|&(address, index)| {
+                let Server {
+                    endpoint, claim, ..
+                } = &servers[index];
+                StoredClaim {
+                    server: endpoint.server.to_string(),
+                    address,
+                    told_in: claim.told_in,
+                    is_superseded: claim.is_superseded,
+                }
+            });
+        let holds = self.held_until.iter();
+        AddressClaims {
+            claims: claims.collect(),
+            holds: holds
+                .map(|(address, until)| (*address, until.since(now).0))
+                .collect(),
+        }
+    }
+
+    /// Takes over the claims of a previous process, for the processes that are listed now.
+    pub fn restore(&mut self, servers: &mut ServerTable, stored: AddressClaims, now: Micros) {
+        for stored_claim in stored.claims.into_iter().take(MAX_STORED_CLAIMS) {
+            let Some(index) = servers.index_of(&stored_claim.server) else {
+                continue;
+            };
+            if servers[index].endpoint.address == Some(stored_claim.address) {
+                let claim = &mut servers[index].claim;
+                claim.told_in = stored_claim.told_in;
+                claim.is_superseded = stored_claim.is_superseded;
+                self.update_count = self.update_count.max(stored_claim.told_in);
+            }
+        }
+        for (address, left) in stored.holds.into_iter().take(MAX_STORED_CLAIMS) {
+            let left = Micros(left).min(ADDRESS_HOLD);
+            self.held_until.insert(address, now.plus(left));
+        }
+    }
+
     /// When the next address may be used again.
     pub fn next_release(&self) -> Option<Micros> {
         self.held_until.values().min().copied()
--- a/crates/load-balancer/src/lib.rs
+++ b/crates/load-balancer/src/lib.rs
@@ -93,6 +93,7 @@
 mod warm_state;
 
 pub use action::Action;
+pub use address_ownership::AddressClaims;
 pub use admin_overrides::{AdminOverride, OverrideSource};
 pub use availability::Availability;
 pub use diagnostics::{Diagnostics, TrackedCounts};
--- a/crates/load-balancer/src/router/fleet.rs
+++ b/crates/load-balancer/src/router/fleet.rs
@@ -2,10 +2,10 @@
 
 use super::Router;
 use crate::action::Action;
-use crate::address_ownership::{OwnershipChange, PreviousClaim};
+use crate::address_ownership::{AddressClaims, OwnershipChange, PreviousClaim};
 use crate::admin_overrides::OverrideSource;
 use crate::concurrency_limit::ConcurrencyLimit;
-use crate::endpoint::{Endpoint, EndpointUpdate};
+use crate::endpoint::{Endpoint, EndpointState, EndpointUpdate};
 use crate::ids::{RequestId, ServerId};
 use crate::ring::{RingPoint, server_positions};
 use crate::server_table::Server;
@@ -153,7 +153,9 @@
         let changes = self.address_ownership.resolve(&mut self.servers, self.now);
         for change in &changes {
             let index = change.server;
-            self.log_ownership_change(change);
+            if self.servers[index].endpoint.state == EndpointState::Ready {
+                self.log_ownership_change(change);
+            }
             if change.owns_address {
                 self.servers[index].possible_restart_at = self.now;
                 self.servers[index].known_since = self.now;
@@ -192,6 +194,26 @@
         self.actions.push(Action::Log(text));
     }
 
+    /// The claims to addresses that a successor has to know beside the endpoint list.
+    pub fn address_claims(&self) -> AddressClaims {
+        self.address_ownership.claims(&self.servers, self.now)
+    }
+
+    /// Restores the claims of a previous process. To be called after the endpoint list is set. Returns actions
+    /// like [`Router::handle`].
+    pub fn restore_address_claims(
+        &mut self,
+        now: Micros,
+        claims: AddressClaims,
+        actions: &mut Vec<Action>,
+    ) {
+        self.now = self.now.max(now);
+        self.address_ownership
+            .restore(&mut self.servers, claims, self.now);
+        self.on_availability_changed();
+        actions.append(&mut self.actions);
+    }
+
     /// Checks whether addresses may be used again.
     pub(super) fn on_address_timer(&mut self) {
         self.on_availability_changed();
--- a/crates/router-runtime/src/dispatcher.rs
+++ b/crates/router-runtime/src/dispatcher.rs
@@ -21,8 +21,8 @@
 use crate::upstream::UpstreamPools;
 use attempts::AttemptParams;
 use load_balancer::{
-    Action, AdminOverride, AttemptNumber, Availability, Diagnostics, Endpoint, EndpointUpdate,
-    Event, Micros, OverrideSource, Request, RequestId, Router, ServerId, WarmState,
+    Action, AddressClaims, AdminOverride, AttemptNumber, Availability, Diagnostics, Endpoint,
+    EndpointUpdate, Event, Micros, OverrideSource, Request, RequestId, Router, ServerId, WarmState,
 };
 use open_requests::{OpenRequest, OpenRequests, ResponseSink};
 use std::cell::{Cell, RefCell};
@@ -215,6 +215,24 @@
         state.router.restore_warm_state(now, warm_state);
     }
 
+    /// The claims to addresses that a successor has to know.
+    pub fn address_claims(&self) -> AddressClaims {
+        self.state.borrow().router.address_claims()
+    }
+
+    /// Restores the claims to addresses of another process of this router.
+    pub fn restore_address_claims(self: &Rc<Self>, claims: AddressClaims) {
+        let now = self.clock.now();
+        let mut state = self.state.borrow_mut();
+        let mut actions = Vec::new();
+        state
+            .router
+            .restore_address_claims(now, claims, &mut actions);
+        for action in actions {
+            self.execute_action(&mut state, action);
+        }
+    }
+
     /// How long a connection to a server may stay idle.
     pub fn idle_connection_lifetime(&self) -> Duration {
         to_duration(self.state.borrow().router.idle_connection_lifetime())
--- a/crates/router-runtime/src/runtime.rs
+++ b/crates/router-runtime/src/runtime.rs
@@ -17,7 +17,8 @@
 use crate::upstream::UpstreamPools;
 use config::RouterSetup;
 use load_balancer::{
-    AdminOverride, Availability, Micros, OverrideSource, ServerId, WallTime, WarmState,
+    AddressClaims, AdminOverride, Availability, Micros, OverrideSource, ServerId, WallTime,
+    WarmState,
 };
 use process_lifecycle::{Lifecycle, LifecycleEvent};
 use std::cell::Cell;
@@ -204,6 +205,16 @@
         self.dispatcher.restore_warm_state(warm_state);
     }
 
+    /// The claims to addresses that a successor has to know beside the endpoint list.
+    pub fn address_claims(&self) -> AddressClaims {
+        self.dispatcher.address_claims()
+    }
+
+    /// Restores the claims to addresses of another process of this router.
+    pub fn restore_address_claims(&self, claims: AddressClaims) {
+        self.dispatcher.restore_address_claims(claims);
+    }
+
     /// The current endpoint list, and the discovery server that it comes from.
     pub fn endpoint_list(&self) -> WatchedEndpoints {
         WatchedEndpoints {
