Soak: stepped clocks, removals, excludes, reused addresses, kills, replacements, SIGHUP

Tasks of the rig that panic are reported, and the run counts as not played; a server that is restarted twice at once no longer panics.

--- a/crates/router-soak/src/discovery.rs
+++ b/crates/router-soak/src/discovery.rs
@@ -8,6 +8,7 @@
 };
 use router_simulation::network::{CloseKind, Side};
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -24,12 +25,14 @@
 pub(crate) enum Health {
     Up,
     Draining,
+    Removed,
 }
 
 /// Endpoint list entry of a server.
 #[derive(Clone, Copy)]
 struct Entry {
     health: Health,
+    address: SocketAddr,
     /// Start time of the server, as Unix time in milliseconds.
     born_ms: u64,
     /// List version of the last change.
@@ -39,8 +42,10 @@
 /// Fake discovery; see the module documentation.
 pub(crate) struct Discovery {
     pub address: SocketAddr,
-    servers: Vec<Rc<Server>>,
-    entries: RefCell<Vec<Entry>>,
+    /// Another address at which it serves the same lists.
+    pub second_address: SocketAddr,
+    /// By server number.
+    entries: RefCell<BTreeMap<usize, Entry>>,
     version: Cell<u64>,
     recorder: Rc<Recorder>,
     /// The list has changed.
@@ -60,20 +65,19 @@
 impl Discovery {
     /// Starts discovery with all servers up, with a start time of zero.
     pub async fn start(servers: &[Rc<Server>], recorder: Rc<Recorder>) -> Rc<Discovery> {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a free loopback port");
-        let entry = Entry {
+        let (listener, address) = bind().await;
+        let (second_listener, second_address) = bind().await;
+        let entry = |server: &Rc<Server>| Entry {
             health: Health::Up,
+            address: server.address.get(),
             born_ms: 0,
             changed_in_version: 1,
         };
+        let entries = servers.iter().map(entry).enumerate().collect();
         let discovery = Rc::new(Discovery {
-            address: listener
-                .local_addr()
-                .expect("a bound listener has an address"),
-            servers: servers.to_vec(),
-            entries: RefCell::new(vec![entry; servers.len()]),
+            address,
+            second_address,
+            entries: RefCell::new(entries),
             version: Cell::new(1),
             recorder,
             changed: Notify::new(),
@@ -83,25 +87,29 @@
             calls_to_fail: Cell::new(0),
             down_until: Cell::new(None),
         });
-        let accepting = discovery.clone();
-        spawn_local(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let serving = accepting.clone();
-                spawn_local(async move { serving.serve(stream).await });
-            }
-        });
+        for listener in [listener, second_listener] {
+            let accepting = discovery.clone();
+            spawn_local(async move {
+                while let Ok((stream, _)) = listener.accept().await {
+                    let serving = accepting.clone();
+                    spawn_local(async move { serving.serve(stream).await });
+                }
+            });
+        }
         discovery
     }
 
     /// Changes the list entry of a server.
-    pub fn set_endpoint(&self, server: usize, health: Health, born_ms: u64) {
+    pub fn set_endpoint(&self, server: usize, address: SocketAddr, health: Health, born_ms: u64) {
         let version = self.version.get() + 1;
         self.version.set(version);
-        self.entries.borrow_mut()[server] = Entry {
+        let entry = Entry {
             health,
+            address,
             born_ms,
             changed_in_version: version,
         };
+        self.entries.borrow_mut().insert(server, entry);
         self.changed.notify_waiters();
         self.schedule_announcement(server, health == Health::Up, born_ms);
     }
@@ -122,7 +130,8 @@
     }
 
     pub fn born_ms(&self, server: usize) -> u64 {
-        self.entries.borrow()[server].born_ms
+        let entries = self.entries.borrow();
+        entries.get(&server).map_or(0, |entry| entry.born_ms)
     }
 
     pub fn end_watches(&self) {
@@ -135,22 +144,23 @@
 
     /// Returns a snapshot of the list.
     pub fn snapshot(&self) -> String {
-        self.list(true, |_| true)
+        self.list(true, |entry| entry.health != Health::Removed)
     }
 
     fn list(&self, is_snapshot: bool, contains: impl Fn(&Entry) -> bool) -> String {
         let entries = self.entries.borrow();
-        let listed = entries.iter().zip(&self.servers).enumerate();
-        let hosts: Vec<String> = listed
-            .filter(|(_, (entry, _))| contains(entry))
-            .map(|(number, (entry, server))| {
+        let hosts: Vec<String> = entries
+            .iter()
+            .filter(|(_, entry)| contains(entry))
+            .map(|(&number, entry)| {
                 let listed = ListEntry {
                     name: &server_name(number),
-                    address: server.address,
+                    address: entry.address,
                     zone: zone_of(number),
                     health: match entry.health {
                         Health::Up => "up",
                         Health::Draining => "draining",
+                        Health::Removed => "removed",
                     },
                     born_ms: entry.born_ms,
                 };
@@ -232,6 +242,17 @@
     }
 }
 
+/// Listens on a free loopback port.
+async fn bind() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a free loopback port");
+    let address = listener
+        .local_addr()
+        .expect("a bound listener has an address");
+    (listener, address)
+}
+
 /// Decrements a count; false if it is zero.
 fn decrement(count: &Cell<usize>) -> bool {
     let is_positive = count.get() > 0;
--- a/crates/router-soak/src/main.rs
+++ b/crates/router-soak/src/main.rs
@@ -40,7 +40,7 @@
         .into_inner()
         .expect("the report lock is not poisoned");
     print_summary(&reports);
-    match reports.iter().all(|report| report.violations.is_empty()) {
+    match reports.iter().all(SoakReport::has_held) {
         true => ExitCode::SUCCESS,
         false => ExitCode::FAILURE,
     }
@@ -55,10 +55,13 @@
 
 fn print_report(report: &SoakReport) {
     println!("{report}");
-    if report.violations.is_empty() {
+    if report.has_held() {
         return;
     }
     println!("  {}", report.plan);
+    for failure in &report.rig_failures {
+        println!("  not played as planned: {failure}");
+    }
     for violation in &report.violations {
         let at_ms = violation.time / 1_000;
         println!("  {at_ms} ms: {}: {}", violation.rule, violation.text);
@@ -92,10 +95,11 @@
         descriptor_ratios.fold(0.0, f64::max),
     );
     println!("breaches by rule: {violations_by_rule:?}");
-    for report in reports
+    let not_played = reports
         .iter()
-        .filter(|report| !report.violations.is_empty())
-    {
+        .filter(|report| !report.rig_failures.is_empty());
+    println!("runs not played as planned: {}", not_played.count());
+    for report in reports.iter().filter(|report| !report.has_held()) {
         let seed = report.plan.seed;
         println!("again: tests/soak.sh {seed}..{seed}");
     }
--- a/crates/router-soak/src/plan.rs
+++ b/crates/router-soak/src/plan.rs
@@ -1,6 +1,7 @@
 //! Plan of a run, drawn from a seed: servers, clients, settings, faults and how the router is shut
 //! down.
 
+use crate::recorder::zone_of;
 use router_simulation::rng::SeededRng;
 use std::fmt;
 
@@ -10,6 +11,12 @@
 const RESERVED_DESCRIPTORS: usize = 48;
 /// Seeds below this have no crowd: CI plays them six at a time, in the debug build.
 const FIRST_CROWD_SEED: u64 = 100;
+/// Seeds below this have no faults of the fleet's membership: they would change the plans of known seeds.
+const FIRST_MEMBERSHIP_SEED: u64 = 200;
+/// Largest step of a wall clock, in milliseconds.
+const MAX_CLOCK_STEP_MS: u64 = 3_600_000;
+/// Number of servers that may come up at the addresses of others.
+const SPARE_SERVERS: usize = 2;
 /// Ratio of runs with a crowd.
 const CROWD_RATIO: f64 = 0.25;
 /// Memory limit of a run with a crowd, in MiB.
@@ -57,6 +64,29 @@
     Vanish(usize),
     /// Servers send long values with a pause in the middle.
     PausedValues,
+    /// The wall clock of the router's machine is stepped to this offset in milliseconds, those of the servers'
+    /// machines to the opposite one.
+    StepClocks(i64),
+    /// A server drains, leaves the list, and comes back later under the same name.
+    Remove(usize),
+    /// An operator excludes a server, and includes it again.
+    Exclude(usize),
+    /// The process of a server is killed, and a spare one comes up at its address while it is still listed. The
+    /// spare one drains and leaves.
+    ReuseAddress {
+        /// The server that is killed.
+        server: usize,
+        /// Number of the spare server.
+        spare: usize,
+        /// How long the killed one stays listed, in milliseconds.
+        stale_ms: u64,
+    },
+    /// SIGHUP, with another address of discovery.
+    Reload,
+    /// Another process takes over; the old one gets SIGTERM, and is killed at the earliest time.
+    Replace,
+    /// The router is killed, and starts again with the list of its first start.
+    Kill,
 }
 
 /// Fault with its start time and duration.
@@ -161,6 +191,9 @@
         plan.draw_crowd(&mut SeededRng::new(seed, 6));
         plan.draw_faults(&mut SeededRng::new(seed, 2));
         plan.draw_additional_faults(&mut SeededRng::new(seed, 4));
+        if plan.has_membership_faults() {
+            plan.draw_membership_faults(&mut SeededRng::new(seed, 7));
+        }
         plan.faults.sort_by_key(|fault| fault.at_ms);
         plan
     }
@@ -209,6 +242,62 @@
         }
     }
 
+    /// Draws steps of the clocks and changes of the fleet and of the router's processes.
+    fn draw_membership_faults(&mut self, rng: &mut SeededRng) {
+        let step_ms = [1_000, 60_000, MAX_CLOCK_STEP_MS][rng.index(3)] as i64;
+        let step_ms = if rng.chance(0.5) { step_ms } else { -step_ms };
+        let spare = self.servers;
+        let (first, second) = (
+            self.draw_neighbor(rng, spare),
+            self.draw_neighbor(rng, spare + 1),
+        );
+        let process_fault = [FaultKind::Replace, FaultKind::Kill, FaultKind::Reload][rng.index(3)];
+        let reuse = |server, spare, stale_ms| FaultKind::ReuseAddress {
+            server,
+            spare,
+            stale_ms,
+        };
+        let kinds = [
+            (FaultKind::StepClocks(step_ms), rng.range(0, 3_000)),
+            (FaultKind::StepClocks(0), rng.range(3_000, 8_000)),
+            (
+                reuse(first, spare, rng.range(0, 2_000)),
+                rng.range(500, 4_000),
+            ),
+            (
+                FaultKind::Exclude(rng.index(self.servers)),
+                rng.range(500, 6_000),
+            ),
+            (
+                FaultKind::Remove(rng.index(self.servers)),
+                rng.range(500, 6_000),
+            ),
+            (process_fault, rng.range(1_000, 5_000)),
+        ];
+        for (kind, at_ms) in kinds {
+            self.faults.push(PlannedFault {
+                kind,
+                at_ms,
+                duration_ms: rng.range(500, 3_000),
+            });
+        }
+        if rng.chance(0.5) {
+            let kind = reuse(second, spare + 1, rng.range(0, 8_000));
+            self.faults.push(PlannedFault {
+                kind,
+                at_ms: rng.range(2_000, 6_000),
+                duration_ms: rng.range(500, 2_000),
+            });
+        }
+    }
+
+    /// Draws a server in the zone of a spare one.
+    fn draw_neighbor(&self, rng: &mut SeededRng, spare: usize) -> usize {
+        let is_neighbor = |&server: &usize| zone_of(server) == zone_of(spare);
+        let neighbors: Vec<usize> = (0..self.servers).filter(is_neighbor).collect();
+        neighbors[rng.index(neighbors.len())]
+    }
+
     fn draw_kind(&self, rng: &mut SeededRng) -> FaultKind {
         let server = rng.index(self.servers);
         match rng.index(10) {
@@ -242,6 +331,16 @@
         });
     }
 
+    /// Whether it has steps of the clocks, and changes of the fleet and of the router's processes.
+    pub fn has_membership_faults(&self) -> bool {
+        self.seed >= FIRST_MEMBERSHIP_SEED
+    }
+
+    /// Number of cache servers, with those that come up at the addresses of others.
+    pub fn all_servers(&self) -> usize {
+        self.servers + SPARE_SERVERS
+    }
+
     /// Longest deadline of any class, in milliseconds.
     pub fn longest_deadline_ms(&self) -> u64 {
         self.deadlines_ms.into_iter().max().unwrap_or_default()
--- a/crates/router-soak/src/recorder.rs
+++ b/crates/router-soak/src/recorder.rs
@@ -62,7 +62,7 @@
 
 impl Recorder {
     pub fn new(plan: &SoakPlan) -> Recorder {
-        let identities: Vec<ServerIdentity> = (0..plan.servers)
+        let identities: Vec<ServerIdentity> = (0..plan.all_servers())
             .map(|number| ServerIdentity {
                 name: server_name(number),
                 zone: zone_of(number),
@@ -71,7 +71,7 @@
         let mut checker = InvariantChecker::new(rule_parameters(plan), &identities, false);
         checker.add_machine(Role::Router(0));
         checker.add_machine(Role::Client);
-        for number in 0..plan.servers {
+        for number in 0..plan.all_servers() {
             checker.add_machine(Role::Server(number));
         }
         checker.add_machine(Role::Discovery);
@@ -81,7 +81,7 @@
             last_connection: Cell::new(0),
             attempted: RefCell::default(),
             kill_grace_until: Cell::new(None),
-            discovery: Node(FIRST_SERVER + plan.servers as u32),
+            discovery: Node(FIRST_SERVER + plan.all_servers() as u32),
         }
     }
 
@@ -174,6 +174,14 @@
             .endpoint_announced(now, server, is_up, born_ms);
     }
 
+    /// Records that an operator has excluded a server or is about to include it.
+    pub fn record_override(&self, server: usize, is_disabled: bool) {
+        let now = self.now();
+        self.checker
+            .borrow_mut()
+            .server_override_changed(now, 0, server, is_disabled);
+    }
+
     pub fn watch_silenced(&self, connection: u32) {
         let now = self.now();
         self.checker.borrow_mut().watch_silenced(now, connection);
--- a/crates/router-soak/src/run.rs
+++ b/crates/router-soak/src/run.rs
@@ -1,6 +1,8 @@
 //! A run of the soak test: starts the fakes and the router, carries out the plan, shuts the router
 //! down, and reports.
 
+mod membership;
+
 use crate::client::{ClientPool, open_idle_connections};
 use crate::crowd::start_crowd;
 use crate::discovery::{Discovery, Health};
@@ -12,12 +14,13 @@
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
 use std::fmt;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
-use test_support::{Platform, RouterProcess, configuration};
-use tokio::task::{LocalSet, spawn_blocking, spawn_local};
+use std::time::{Duration, Instant};
+use test_support::{Platform, RouterProcess, configuration, unused_addr};
+use tokio::task::{JoinHandle, LocalSet, spawn_blocking, spawn_local};
 
 /// Maximum number of attempts per request.
 pub(crate) const MAX_ATTEMPTS: usize = 5;
@@ -70,6 +73,22 @@
     pub peak_descriptors: usize,
     /// Log lines of the router processes.
     pub log: Vec<String>,
+    /// Why the run was not played as planned; empty if it was.
+    pub rig_failures: Vec<String>,
+}
+
+impl SoakReport {
+    /// Whether the run was played as planned and broke no rule.
+    pub fn has_held(&self) -> bool {
+        self.violations.is_empty() && self.rig_failures.is_empty()
+    }
+}
+
+/// A running router process.
+struct RunningProcess {
+    process: RouterProcess,
+    /// Address for operators' commands, in runs that have some.
+    admin: Option<SocketAddr>,
 }
 
 impl fmt::Display for SoakReport {
@@ -122,7 +141,14 @@
     platform: Arc<Platform>,
     configuration: Value,
     /// Router processes, the newest last.
-    processes: RefCell<Vec<RouterProcess>>,
+    processes: RefCell<Vec<RunningProcess>>,
+    /// Processes that another one has replaced, until they are killed.
+    ending: RefCell<Vec<RunningProcess>>,
+    /// Offset of the servers' wall clocks.
+    server_clock_offset_ms: Cell<i64>,
+    /// Tasks that carry out the plan.
+    tasks: RefCell<Vec<JoinHandle<()>>>,
+    rig_failures: RefCell<Vec<String>>,
     logs: RefCell<Vec<Arc<Mutex<Vec<String>>>>>,
     peak_memory_kb: Cell<usize>,
     peak_descriptors: Cell<usize>,
@@ -136,7 +162,21 @@
         servers.push(server.await);
     }
     let discovery = Discovery::start(&servers, recorder.clone()).await;
-    let mut platform = Platform::new();
+    for number in plan.servers..plan.all_servers() {
+        let unset = SocketAddr::from(([127, 0, 0, 1], 0));
+        let (max_service_ms, recorder) = (plan.max_service_ms, recorder.clone());
+        servers.push(Server::new(
+            number,
+            plan.seed,
+            max_service_ms,
+            recorder,
+            unset,
+        ));
+    }
+    let mut platform = match plan.has_membership_faults() {
+        true => Platform::with_stepped_clock(),
+        false => Platform::new(),
+    };
     platform.failing_calls = failing_calls(&plan);
     let platform = Arc::new(platform);
     let run = Rc::new(Run {
@@ -147,6 +187,10 @@
         discovery,
         platform,
         processes: RefCell::default(),
+        ending: RefCell::default(),
+        server_clock_offset_ms: Cell::new(0),
+        tasks: RefCell::default(),
+        rig_failures: RefCell::default(),
         logs: RefCell::default(),
         peak_memory_kb: Cell::new(0),
         peak_descriptors: Cell::new(0),
@@ -161,32 +205,57 @@
         spawn_local(run.clients.clone().run());
     }
     for fault in run.plan.faults.clone() {
-        spawn_local(run.clone().inject(fault));
+        run.spawn(run.clone().inject(fault));
     }
     tokio::time::sleep(Duration::from_millis(LOAD_MS) - TAKEOVER_LEAD).await;
     run.shut_down().await;
     drop(idle_clients);
     drop(crowd);
+    run.record_failed_tasks().await;
     run.report()
 }
 
 impl Run {
     /// Starts a router process, which takes over from a running one.
     async fn start_process(&self) {
-        let (platform, configuration) = (self.platform.clone(), self.configuration.clone());
+        let (platform, mut configuration) = (self.platform.clone(), self.configuration.clone());
+        let admin = self.plan.has_membership_faults().then(unused_addr);
+        if let Some(admin) = admin {
+            configuration["admin"] = admin.to_string().into();
+        }
         let starting = spawn_blocking(move || platform.start(&configuration));
         let process = starting.await.expect("the router starts");
         self.logs.borrow_mut().push(process.log.clone());
+        let process = RunningProcess { process, admin };
         self.processes.borrow_mut().push(process);
     }
 
+    /// Spawns a task that carries out a part of the plan.
+    fn spawn(&self, task: impl Future<Output = ()> + 'static) {
+        self.tasks.borrow_mut().push(spawn_local(task));
+    }
+
+    /// Records the tasks that have panicked, and ends the others.
+    async fn record_failed_tasks(&self) {
+        let tasks = std::mem::take(&mut *self.tasks.borrow_mut());
+        for task in tasks {
+            task.abort();
+            if let Err(error) = task.await
+                && error.is_panic()
+            {
+                let failure = format!("a task of the rig failed: {error}");
+                self.rig_failures.borrow_mut().push(failure);
+            }
+        }
+    }
+
     /// Samples memory and descriptors of the router processes for the whole run.
     async fn sample(self: Rc<Self>) {
         loop {
             tokio::time::sleep(SAMPLE_INTERVAL).await;
-            for process in self.processes.borrow().iter() {
-                let memory_kb = resident_kb(process.pid()).unwrap_or(0);
-                let descriptors = descriptor_count(process.pid()).unwrap_or(0);
+            for running in self.processes.borrow().iter() {
+                let memory_kb = resident_kb(running.process.pid()).unwrap_or(0);
+                let descriptors = descriptor_count(running.process.pid()).unwrap_or(0);
                 self.peak_memory_kb
                     .set(self.peak_memory_kb.get().max(memory_kb));
                 self.peak_descriptors
@@ -243,6 +312,20 @@
                 self.servers[server].kill();
                 self.restart(server).await;
             }
+            FaultKind::StepClocks(offset_ms) => self.step_clocks(offset_ms),
+            FaultKind::Remove(server) => self.remove(server, duration).await,
+            FaultKind::Exclude(server) => self.exclude(server, duration).await,
+            FaultKind::ReuseAddress {
+                server,
+                spare,
+                stale_ms,
+            } => {
+                let stale = Duration::from_millis(stale_ms);
+                self.reuse_address(server, spare, stale, duration).await;
+            }
+            FaultKind::Reload => self.reload(),
+            FaultKind::Replace => self.replace().await,
+            FaultKind::Kill => self.kill_router().await,
             FaultKind::ClientsLeave => set_during(&self.clients.disconnect_early, duration).await,
             FaultKind::LongWrites => set_during(&self.clients.write_long_values, duration).await,
             FaultKind::SlowReaders => set_during(&self.clients.read_slowly, duration).await,
@@ -250,7 +333,7 @@
     }
 
     fn all_servers(&self) -> Vec<usize> {
-        (0..self.servers.len()).collect()
+        (0..self.plan.servers).collect()
     }
 
     /// Sets a fault on servers for a duration.
@@ -266,9 +349,10 @@
     }
 
     async fn drain(&self, server: usize, duration: Duration) {
-        let born_ms = self.discovery.born_ms(server);
-        self.discovery
-            .set_endpoint(server, Health::Draining, born_ms);
+        if self.servers[server].is_replaced.get() {
+            return;
+        }
+        self.set_health(server, Health::Draining);
         tokio::time::sleep(DRAIN_DELAY).await;
         self.servers[server].change(|faults| faults.is_draining = true);
         tokio::time::sleep(duration).await;
@@ -278,12 +362,14 @@
 
     async fn restart(&self, server: usize) {
         tokio::time::sleep(RESTART_PAUSE).await;
+        if self.servers[server].is_replaced.get() {
+            return;
+        }
         self.servers[server].restart().await;
-        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-        let born_ms = since_epoch
-            .expect("the clock is past the Unix epoch")
-            .as_millis() as u64;
-        self.discovery.set_endpoint(server, Health::Up, born_ms);
+        let address = self.servers[server].address.get();
+        let born_ms = self.server_time_ms();
+        self.discovery
+            .set_endpoint(server, address, Health::Up, born_ms);
     }
 
     /// Shuts the router down as planned, and kills it once its time is over.
@@ -291,7 +377,7 @@
         match self.plan.ending {
             Ending::TermInTakeover => {
                 self.start_process().await;
-                self.processes.borrow()[0].terminate();
+                self.processes.borrow()[0].process.terminate();
             }
             Ending::SuccessorKilled => {
                 self.start_process().await;
@@ -311,13 +397,14 @@
         let longest = Duration::from_millis(self.plan.longest_deadline_ms());
         tokio::time::sleep_until((terminated_at + longest + KILL_MARGIN).into()).await;
         self.processes.borrow_mut().clear();
+        self.ending.borrow_mut().clear();
         // Gives clients time to notice the connections that the kill closed.
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
 
     fn send_shutdown_signals(&self) {
         let processes = self.processes.borrow();
-        let Some(process) = processes.last() else {
+        let Some(RunningProcess { process, .. }) = processes.last() else {
             return;
         };
         let configuration = self.configuration.to_string();
@@ -373,6 +460,7 @@
             peak_memory_kb: self.peak_memory_kb.get(),
             peak_descriptors: self.peak_descriptors.get(),
             log: self.log(),
+            rig_failures: self.rig_failures.borrow().clone(),
         }
     }
 }
--- a/crates/router-soak/src/server.rs
+++ b/crates/router-soak/src/server.rs
@@ -57,7 +57,9 @@
 /// Fake cache server; see the module documentation.
 pub(crate) struct Server {
     number: usize,
-    pub address: SocketAddr,
+    pub address: Cell<SocketAddr>,
+    /// Whether another server has its address.
+    pub is_replaced: Cell<bool>,
     pub faults: Cell<ServerFaults>,
     max_service_ms: u64,
     recorder: Rc<Recorder>,
@@ -76,19 +78,32 @@
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("a free loopback port");
-        let server = Rc::new(Server {
+        let address = listener
+            .local_addr()
+            .expect("a bound listener has an address");
+        let server = Server::new(number, seed, max_service_ms, recorder, address);
+        server.clone().accept_on(listener);
+        server
+    }
+
+    /// Creates a server whose process does not run yet.
+    pub fn new(
+        number: usize,
+        seed: u64,
+        max_service_ms: u64,
+        recorder: Rc<Recorder>,
+        address: SocketAddr,
+    ) -> Rc<Server> {
+        Rc::new(Server {
             number,
-            address: listener
-                .local_addr()
-                .expect("a bound listener has an address"),
+            address: Cell::new(address),
+            is_replaced: Cell::new(false),
             faults: Cell::default(),
             max_service_ms,
             recorder,
             rng: RefCell::new(SeededRng::new(seed, 100 + number as u64)),
             tasks: RefCell::default(),
-        });
-        server.clone().accept_on(listener);
-        server
+        })
     }
 
     /// Changes the current faults.
@@ -105,12 +120,16 @@
         }
     }
 
-    /// Starts the process again, without faults.
+    /// Starts the process again, without faults, in place of one that may run.
+    ///
+    /// # Panics
+    /// If its address cannot be bound. The run is then not played as planned.
     pub async fn restart(self: &Rc<Self>) {
+        self.kill();
         self.change(|faults| *faults = ServerFaults::default());
         // The old listener is dropped only after its aborted task has been polled.
         for _ in 0..100 {
-            if let Ok(listener) = TcpListener::bind(self.address).await {
+            if let Ok(listener) = TcpListener::bind(self.address.get()).await {
                 return self.clone().accept_on(listener);
             }
             tokio::time::sleep(Duration::from_millis(5)).await;
--- a/crates/router-soak/tests/soak.rs
+++ b/crates/router-soak/tests/soak.rs
@@ -9,10 +9,11 @@
     println!("{}", report.plan);
     assert!(report.requests > 500, "{} requests", report.requests);
     assert!(
-        report.violations.is_empty(),
-        "{}\n{:#?}",
+        report.has_held(),
+        "{}\n{:#?}\n{:#?}",
         report.plan,
-        report.violations
+        report.violations,
+        report.rig_failures
     );
 }
 
@@ -45,3 +46,10 @@
 fn seed_6() {
     run_seed(6);
 }
+
+/// Guards against late sends where clocks are stepped, servers come up at the addresses of others, and the router
+/// is killed or replaced meanwhile.
+#[test]
+fn seed_200() {
+    run_seed(200);
+}
