Leave an address alone whose unknown process is told as removed

Cause: a removal of a process that the router had not known was taken for one that had never been listed, so its address was not held. Evidence: the_removal_of_an_unknown_process_keeps_its_address_from_others and the drawn sequences, which have outages of discovery now, failed before and pass now. Change: a process counts as listed from the moment at which it is told, whatever its state.

--- a/crates/load-balancer/src/address_ownership.rs
+++ b/crates/load-balancer/src/address_ownership.rs
@@ -128,8 +128,10 @@
         now: Micros,
     ) {
         let update = self.update_count;
+        // One that is first told when it has left was at its address until then.
         servers[index].claim = AddressClaim {
             told_in: update,
+            was_listed: true,
             ..AddressClaim::default()
         };
         let address = servers[index].endpoint.address;
--- a/crates/load-balancer/tests/address_ownership.rs
+++ b/crates/load-balancer/tests/address_ownership.rs
@@ -117,6 +117,16 @@
     }
 }
 
+/// Guards against work for a process that came up, and left the list, while discovery told nothing.
+#[test]
+fn the_removal_of_an_unknown_process_keeps_its_address_from_others() {
+    let mut rig = TestRouter::new(settings(), vec![entry(1, Ready, 900), bystander()]);
+    told(&mut rig, vec![entry(2, Removed, 5)]);
+    assert!(!accepts(&rig, 1));
+    wait_for_release(&mut rig);
+    assert!(accepts(&rig, 1));
+}
+
 /// Guards against a process that is not used, since the entry of one that has gone has left its address.
 #[test]
 fn the_removal_of_a_superseded_entry_changes_nothing() {
@@ -166,6 +176,8 @@
     Override { is_disabled: bool },
     /// The whole list is told, by the same or another discovery server.
     WholeList { is_other_server: bool },
+    /// Discovery tells nothing from now on, or returns and tells what has changed meanwhile.
+    Outage { is_down: bool },
     /// Time passes.
     Wait { millis: u64 },
 }
@@ -181,6 +193,7 @@
         2 => (0..8_usize, started()).prop_map(|(entry, started)| Step::ChangeStart { entry, started }),
         1 => any::<bool>().prop_map(|is_disabled| Step::Override { is_disabled }),
         1 => any::<bool>().prop_map(|is_other_server| Step::WholeList { is_other_server }),
+        2 => any::<bool>().prop_map(|is_down| Step::Outage { is_down }),
         2 => (0..9_000_u64).prop_map(|millis| Step::Wait { millis }),
     ];
     (0..2_usize, kind)
@@ -190,8 +203,10 @@
 #[derive(Clone, Copy, Debug)]
 struct Process {
     server: usize,
-    /// Whether it drains or has left the list, by what was told.
+    /// Whether it drains or has left the list.
     is_leaving: bool,
+    /// Whether that was told.
+    is_told: bool,
     /// When it ends, once it has left the list.
     ends_at: Option<Micros>,
 }
@@ -204,6 +219,8 @@
     listed: BTreeMap<usize, Endpoint>,
     disabled: Vec<usize>,
     next_server: usize,
+    /// What has changed since discovery went down; `None` while it is up.
+    untold: Option<BTreeMap<usize, Endpoint>>,
     release_at: Option<Micros>,
 }
 
@@ -216,11 +233,23 @@
             listed: BTreeMap::new(),
             disabled: Vec::new(),
             next_server: 10,
+            untold: None,
             release_at: None,
         }
     }
 
     fn tell(&mut self, update: EndpointUpdate, endpoints: Vec<Endpoint>) {
+        if let Some(untold) = &mut self.untold {
+            let number = |endpoint: &Endpoint| (0..).find(|n| name(*n) == endpoint.server);
+            let changes = endpoints
+                .into_iter()
+                .map(|e| (number(&e).expect("named"), e));
+            untold.extend(changes);
+            return;
+        }
+        for process in self.processes.iter_mut().flatten() {
+            process.is_told = process.is_leaving;
+        }
         let actions = self.rig.update_endpoints(update, endpoints);
         self.take_timer(&actions);
     }
@@ -269,6 +298,14 @@
             Step::RemoveStale => self.remove_stale(),
             Step::ChangeStart { entry, started } => self.change_start(entry, started),
             Step::Override { is_disabled } => self.set_override(at, is_disabled),
+            Step::Outage { is_down: true } => {
+                self.untold.get_or_insert_default();
+            }
+            Step::Outage { is_down: false } => {
+                let changes = self.untold.take().unwrap_or_default();
+                self.tell(EndpointUpdate::Delta, changes.into_values().collect());
+            }
+            Step::WholeList { .. } if self.untold.is_some() => {}
             Step::WholeList { is_other_server } => {
                 let update = match is_other_server {
                     true => EndpointUpdate::SnapshotOfOtherServer,
@@ -292,6 +329,7 @@
         self.processes[at] = Some(Process {
             server,
             is_leaving: false,
+            is_told: false,
             ends_at: None,
         });
         // Another process of the same name has another start.
@@ -341,6 +379,13 @@
 
     fn set_override(&mut self, at: usize, is_disabled: bool) {
         let server = self.last_server[at];
+        // The program rejects a command for a server that it was not told of.
+        if matches!(
+            self.rig.router.availability(&name(server)),
+            None | Some(Availability::Removed)
+        ) {
+            return;
+        }
         self.disabled.retain(|disabled| *disabled != server);
         if is_disabled {
             self.disabled.push(server);
@@ -374,9 +419,8 @@
     /// The entries that the router uses at the address of a process that takes no new requests.
     fn wrongly_used(&self) -> Vec<&Endpoint> {
         let is_closed = |at: usize| {
-            self.processes[at].is_some_and(|process| {
-                process.is_leaving || self.disabled.contains(&process.server)
-            })
+            self.processes[at]
+                .is_some_and(|process| process.is_told || self.disabled.contains(&process.server))
         };
         let used = self
             .listed
@@ -424,6 +468,7 @@
             let wrong = fleet.wrongly_used();
             prop_assert!(wrong.is_empty(), "after {:?}: {:?}", step, wrong);
         }
+        fleet.apply(0, &Step::Outage { is_down: false });
         for _ in 0..3 {
             fleet.wait(ADDRESS_HOLD);
         }
