--- a/crates/load-balancer/src/router.rs
+++ b/crates/load-balancer/src/router.rs
@@ -5,6 +5,7 @@
 //! attempt, outcome, and then a final answer or the next attempt. Only `send` sends attempts, and
 //! only `answer_unserved` rejects or fails requests.
 
+mod addresses;
 mod attempts;
 mod fleet;
 
--- a/crates/router-soak/src/discovery.rs
+++ b/crates/router-soak/src/discovery.rs
@@ -1,6 +1,7 @@
 //! Fake discovery on a loopback socket: serves watches on the endpoint list, with the faults of a
 //! plan.
 
+use crate::loopback::listen;
 use crate::recorder::{Recorder, server_name, zone_of};
 use crate::server::Server;
 use router_simulation::discovery::{
@@ -13,7 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
 
@@ -65,8 +66,8 @@
 impl Discovery {
     /// Starts discovery with all servers up, with a start time of zero.
     pub async fn start(servers: &[Rc<Server>], recorder: Rc<Recorder>) -> Rc<Discovery> {
-        let (listener, address) = bind().await;
-        let (second_listener, second_address) = bind().await;
+        let (listener, address) = listen().await;
+        let (second_listener, second_address) = listen().await;
         let entry = |server: &Rc<Server>| Entry {
             health: Health::Up,
             address: server.address.get(),
@@ -242,17 +243,6 @@
     }
 }
 
-/// Listens on a free loopback port.
-async fn bind() -> (TcpListener, SocketAddr) {
-    let listener = TcpListener::bind("127.0.0.1:0")
-        .await
-        .expect("a free loopback port");
-    let address = listener
-        .local_addr()
-        .expect("a bound listener has an address");
-    (listener, address)
-}
-
 /// Decrements a count; false if it is zero.
 fn decrement(count: &Cell<usize>) -> bool {
     let is_positive = count.get() > 0;
--- a/crates/router-soak/src/lib.rs
+++ b/crates/router-soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod client;
 mod crowd;
 mod discovery;
+mod loopback;
 mod plan;
 mod recorder;
 mod run;
--- a/crates/router-soak/src/run.rs
+++ b/crates/router-soak/src/run.rs
@@ -2,18 +2,18 @@
 //! down, and reports.
 
 mod membership;
+mod report;
+mod shutdown;
 
 use crate::client::{ClientPool, open_idle_connections};
 use crate::crowd::start_crowd;
 use crate::discovery::{Discovery, Health};
-use crate::plan::{Ending, FaultKind, LOAD_MS, PlannedFault, SoakPlan};
+use crate::plan::{FaultKind, LOAD_MS, PlannedFault, SoakPlan};
 use crate::recorder::Recorder;
 use crate::server::{Server, ServerFaults};
 use router_simulation::fault_plan::CLASSES;
-use router_simulation::invariant_checker::Violation;
 use serde_json::{Value, json};
 use std::cell::{Cell, RefCell};
-use std::fmt;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -22,12 +22,12 @@
 use test_support::{Platform, RouterProcess, configuration, unused_addr};
 use tokio::task::{JoinHandle, LocalSet, spawn_blocking, spawn_local};
 
+pub use report::SoakReport;
+
 /// Maximum number of attempts per request.
 pub(crate) const MAX_ATTEMPTS: usize = 5;
 /// Time that the router gets after SIGTERM on top of the longest deadline before it is killed.
 const KILL_MARGIN: Duration = Duration::from_millis(700);
-/// Time after SIGTERM during which clients still open connections.
-const CONNECT_TIME_AFTER_TERM: Duration = Duration::from_millis(400);
 /// Time for which a server that is listed as draining still accepts requests.
 const DRAIN_DELAY: Duration = Duration::from_millis(300);
 /// Time between the end of a server process and its restart.
@@ -36,8 +36,6 @@
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(50);
 /// Time before the end of the load at which a successor is started.
 const TAKEOVER_LEAD: Duration = Duration::from_millis(2_000);
-/// Time after which a successor that is to be killed is killed.
-const SUCCESSOR_LIFETIME: Duration = Duration::from_millis(250);
 /// Time after a process was killed during which ended connections are attributed to the kill.
 const KILL_GRACE: Duration = Duration::from_millis(500);
 
@@ -55,35 +53,6 @@
 };
 const UNRESPONSIVE: SetFault = |faults, is_active| faults.is_unresponsive = is_active;
 
-/// Results of a run.
-pub struct SoakReport {
-    /// Plan of the run.
-    pub plan: SoakPlan,
-    /// Number of requests that clients sent.
-    pub requests: u64,
-    /// Number of final answers that clients received.
-    pub answers: u64,
-    /// Number of those answers that are neither errors nor rejections.
-    pub served: u64,
-    /// Violations of the invariant checker's rules.
-    pub violations: Vec<Violation>,
-    /// Peak resident memory of one router process, in KiB.
-    pub peak_memory_kb: usize,
-    /// Peak number of descriptors of one router process.
-    pub peak_descriptors: usize,
-    /// Log lines of the router processes.
-    pub log: Vec<String>,
-    /// Why the run was not played as planned; empty if it was.
-    pub rig_failures: Vec<String>,
-}
-
-impl SoakReport {
-    /// Whether the run was played as planned and broke no rule.
-    pub fn has_held(&self) -> bool {
-        self.violations.is_empty() && self.rig_failures.is_empty()
-    }
-}
-
 /// A running router process.
 struct RunningProcess {
     process: RouterProcess,
@@ -91,25 +60,6 @@
     admin: Option<SocketAddr>,
 }
 
-impl fmt::Display for SoakReport {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let SoakReport { plan, .. } = self;
-        write!(
-            f,
-            "seed {}: {} requests, {} answers, {} served, {:.0} of {} MB, {} of {} descriptors, {} breaches",
-            plan.seed,
-            self.requests,
-            self.answers,
-            self.served,
-            self.peak_memory_kb as f64 / 1024.0,
-            plan.memory_mb,
-            self.peak_descriptors,
-            plan.descriptors,
-            self.violations.len()
-        )
-    }
-}
-
 /// Runs the plan of a seed in real time.
 pub fn soak(seed: u64) -> SoakReport {
     let plan = SoakPlan::draw(seed);
@@ -372,60 +322,6 @@
             .set_endpoint(server, address, Health::Up, born_ms);
     }
 
-    /// Shuts the router down as planned, and kills it once its time is over.
-    async fn shut_down(&self) {
-        match self.plan.ending {
-            Ending::TermInTakeover => {
-                self.start_process().await;
-                self.processes.borrow()[0].process.terminate();
-            }
-            Ending::SuccessorKilled => {
-                self.start_process().await;
-                tokio::time::sleep(SUCCESSOR_LIFETIME).await;
-                self.recorder.process_killed(KILL_GRACE);
-                let successor = self.processes.borrow_mut().pop();
-                drop(successor);
-            }
-            _ => {}
-        }
-        tokio::time::sleep(TAKEOVER_LEAD).await;
-        self.send_shutdown_signals();
-        let terminated_at = Instant::now();
-        self.clients
-            .connect_until
-            .set(Some(terminated_at + CONNECT_TIME_AFTER_TERM));
-        let longest = Duration::from_millis(self.plan.longest_deadline_ms());
-        tokio::time::sleep_until((terminated_at + longest + KILL_MARGIN).into()).await;
-        self.processes.borrow_mut().clear();
-        self.ending.borrow_mut().clear();
-        // Gives clients time to notice the connections that the kill closed.
-        tokio::time::sleep(Duration::from_millis(100)).await;
-    }
-
-    fn send_shutdown_signals(&self) {
-        let processes = self.processes.borrow();
-        let Some(RunningProcess { process, .. }) = processes.last() else {
-            return;
-        };
-        let configuration = self.configuration.to_string();
-        match self.plan.ending {
-            Ending::HupHupTerm => {
-                process.reload(&configuration);
-                process.reload(&configuration);
-                process.terminate();
-            }
-            Ending::TermTerm => {
-                process.terminate();
-                process.terminate();
-            }
-            Ending::HupWithTerm => {
-                process.terminate();
-                process.reload(&configuration);
-            }
-            Ending::Term | Ending::TermInTakeover | Ending::SuccessorKilled => process.terminate(),
-        }
-    }
-
     fn log(&self) -> Vec<String> {
         let logs = self.logs.borrow();
         let lines = logs
--- a/crates/router-soak/src/server.rs
+++ b/crates/router-soak/src/server.rs
@@ -1,6 +1,7 @@
 //! Fake cache server on a loopback socket, with the faults of a plan. Its process is simulated by a
 //! set of tasks, which a plan may abort and start again on the same address.
 
+use crate::loopback::listen;
 use crate::recorder::{Recorder, server_name};
 use router_simulation::network::{CloseKind, Side};
 use router_simulation::rng::SeededRng;
@@ -75,12 +76,7 @@
         max_service_ms: u64,
         recorder: Rc<Recorder>,
     ) -> Rc<Server> {
-        let listener = TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a free loopback port");
-        let address = listener
-            .local_addr()
-            .expect("a bound listener has an address");
+        let (listener, address) = listen().await;
         let server = Server::new(number, seed, max_service_ms, recorder, address);
         server.clone().accept_on(listener);
         server
