--- a/crates/router-soak/src/plan.rs
+++ b/crates/router-soak/src/plan.rs
@@ -252,6 +252,12 @@
             self.draw_neighbor(rng, spare + 1),
         );
         let process_fault = [FaultKind::Replace, FaultKind::Kill, FaultKind::Reload][rng.index(3)];
+        // The checker can't tell the watches of two processes apart, of which one may be silent.
+        let has_silence = |fault: &PlannedFault| matches!(fault.kind, FaultKind::Silence { .. });
+        let process_fault = match process_fault {
+            FaultKind::Replace if self.faults.iter().any(has_silence) => FaultKind::Kill,
+            process_fault => process_fault,
+        };
         let reuse = |server, spare, stale_ms| FaultKind::ReuseAddress {
             server,
             spare,
--- a/crates/router-soak/src/run/membership.rs
+++ b/crates/router-soak/src/run/membership.rs
@@ -138,6 +138,9 @@
     pub(super) async fn kill_router(&self) {
         self.recorder.process_killed(KILL_GRACE);
         self.processes.borrow_mut().clear();
+        // What is left of a silence concerns the watches before.
+        self.discovery.calls_to_hang.set(0);
+        self.discovery.calls_to_fail.set(0);
         // The new process serves before it is known to have started.
         self.recorder
             .router_started(&self.configuration["known"].to_string());
