Find the entries that a whole list leaves out without comparing all pairs

Cause: the log line of a whole list looked for each known entry in the whole of the new list; for 3,200 servers that is some ten million comparisons of names at each whole list. Change: a set of the listed names. Also one place that sorts the listed addresses, where two callers did, and no function around another one for the timer of addresses. Behaviour stays.

--- a/crates/load-balancer/src/address_ownership.rs
+++ b/crates/load-balancer/src/address_ownership.rs
@@ -167,8 +167,7 @@
     pub fn resolve(&mut self, servers: &mut ServerTable, now: Micros) -> Vec<OwnershipChange> {
         self.hold_addresses_of_removed(servers, now);
         self.held_until.retain(|_, until| *until > now);
-        let mut listed = listed_by_address(servers);
-        listed.sort_unstable();
+        let listed = listed_by_address(servers);
         let mut changes = Vec::new();
         for claimants in listed.chunk_by(|one, other| one.0 == other.0) {
             self.resolve_address(servers, claimants, &mut changes);
@@ -181,8 +180,7 @@
 
     /// The claims to addresses at which several processes are listed, and to those that are not used.
     pub fn claims(&self, servers: &ServerTable, now: Micros) -> AddressClaims {
-        let mut listed = listed_by_address(servers);
-        listed.sort_unstable();
+        let listed = listed_by_address(servers);
         let claims = listed
             .chunk_by(|one, other| one.0 == other.0)
             .filter(|claimants| {
@@ -289,13 +287,15 @@
     server.endpoint.state != EndpointState::Removed
 }
 
-/// The address and index of each listed server with an address.
+/// The address and index of each listed server with an address, in the order of addresses.
 fn listed_by_address(servers: &ServerTable) -> Vec<(SocketAddr, usize)> {
-    let listed = servers.iter().enumerate();
-    listed
+    let servers = servers.iter().enumerate();
+    let mut listed: Vec<(SocketAddr, usize)> = servers
         .filter(|(_, server)| is_listed(server))
         .filter_map(|(index, server)| Some((server.endpoint.address?, index)))
-        .collect()
+        .collect();
+    listed.sort_unstable();
+    listed
 }
 
 /// Whether a server keeps all others from using its address.
--- a/crates/load-balancer/src/router.rs
+++ b/crates/load-balancer/src/router.rs
@@ -153,7 +153,7 @@
     fn on_timer(&mut self, token: u64) {
         match timer::purpose(token) {
             TimerPurpose::Subscription => self.subscribe(),
-            TimerPurpose::Address => self.on_address_timer(),
+            TimerPurpose::Address => self.on_availability_changed(),
             TimerPurpose::Placement => self.on_placement_timer(timer::request(token)),
             TimerPurpose::Deadline => self.on_deadline(timer::request(token)),
         }
--- a/crates/load-balancer/src/router/addresses.rs
+++ b/crates/load-balancer/src/router/addresses.rs
@@ -75,9 +75,4 @@
         self.on_availability_changed();
         actions.append(&mut self.actions);
     }
-
-    /// Checks whether addresses may be used again.
-    pub(super) fn on_address_timer(&mut self) {
-        self.on_availability_changed();
-    }
 }
--- a/crates/router-runtime/src/discovery/list_log.rs
+++ b/crates/router-runtime/src/discovery/list_log.rs
@@ -2,7 +2,7 @@
 
 use crate::endpoint_list::{Health, ListedEndpoint};
 use load_balancer::EndpointUpdate;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::fmt::Write;
 
 /// Maximum number of changed entries that one line names.
@@ -28,8 +28,11 @@
         changes.add(entry, entry.health);
     }
     if is_whole_list {
-        let is_listed = |name: &String| entries.iter().any(|entry| entry.name == *name);
-        for (_, entry) in known.iter().filter(|(name, _)| !is_listed(name)) {
+        let listed: HashSet<&str> = entries.iter().map(|entry| entry.name.as_str()).collect();
+        for (_, entry) in known
+            .iter()
+            .filter(|(name, _)| !listed.contains(name.as_str()))
+        {
             changes.add(entry, Health::Removed);
         }
     }
